Judge how slow an answer is apart from what the size of its request adds

Each of those took 0.3 off the pool (logic.py, _press), was noted as a silent failure of its server after half of the aim (_on_slow, armed in _send), and was given up once out for eight mean latencies of its class, big and small together (_lost). The pool shrank however idle the servers were, what was refused came again, and so on.

Ruled out: overload (the servers' p50 stays under 180 ms and no queue is full, err and full are 0), CPU (a fifth of a core), descriptors (53 of 384).

The mean latency is now kept for each class and size, and what a size adds to the smallest is left out of the pool's judgement and of the time after which an attempt counts as silent. The value for the work, the time left in a hold or a queue and the time after which an attempt is lost go by the size as well.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -13,7 +13,7 @@
 
 import random
 from collections.abc import Callable, Iterable
-from math import exp, inf
+from math import ceil, exp, inf
 from typing import Any
 
 from brackenloft.interface import (
@@ -60,7 +60,7 @@
 
 # Servers
 FIRST_LATENCY = 0.2  # of a class's aim: its latency until answers have been seen
-LATENCY_STEP = 0.03  # weight of one answer in a class's mean latency: some thirty answers of memory
+LATENCY_STEP = 0.03  # weight of one answer in a mean latency, once there are as many: thirty of memory
 SERVER_STEP = 0.15  # weight of one answer in a server's relative latency: some seven answers of memory
 FADE_MS = 4000.0  # time constant with which figures fade, so that a server is tried again; but see _fade
 QUEUE_WEIGHT = 1.0  # requests out that one reported as waiting stands for
@@ -137,14 +137,14 @@
     """A request in hand: held, parked or out, or answered with attempts still out."""
 
     __slots__ = ("request", "kind", "plan", "customer", "arrived", "deadline", "sends", "out", "tried",
-                 "closed", "maybe_ran", "streaming", "waiting", "turn", "keys", "timers")
+                 "closed", "maybe_ran", "streaming", "waiting", "turn", "keys", "timers", "size")
 
     def __init__(
         self, request: Request, kind: RequestClass, plan: Plan, customer: Customer, now: float,
         turn: float,
     ) -> None:
         self.request, self.kind, self.plan, self.customer = request, kind, plan, customer
-        self.arrived, self.deadline = now, now + request.patience_ms
+        self.arrived, self.deadline, self.size = now, now + request.patience_ms, ceil(request.units)
         self.keys = ("", f"class {kind.name}", f"class {kind.name} of plan {plan.name}")
         self.sends, self.turn = 0, turn  # the turn says which cold servers it may go to, once for all
         self.out: dict[int, tuple[Server, float]] = {}
@@ -171,7 +171,7 @@
         worths = [item.worth for item in settings.classes]
         self.cheap = min(worths) if min(worths) < max(worths) else 0.0  # the least worth, where worths differ
         self.shortest = min(item.aim_ms for item in settings.classes)
-        self.latency = {item.name: item.aim_ms * FIRST_LATENCY for item in settings.classes}
+        self.latency: dict[str, dict[int, tuple[float, int]]] = {item.name: {} for item in settings.classes}
         self.retries = RETRY_STORE
         self.young: set[tuple[str, int]] = set()  # attempts out that are not slow yet: what the pool counts
         self.pool = inf  # until the first list
@@ -292,7 +292,7 @@
         customer.excess, customer.touched = excess, self.now
         return max(0.0, excess - burst) / rate
 
-    def _useful(self, kind: RequestClass) -> float:
+    def _useful(self, flight: Flight) -> float:
         """How long a hold may last: for an answer within the shortest aim, and less for the least worthy.
 
         Guards against sending on what earns nothing, as a band of one burst may last seconds longer than
@@ -300,9 +300,9 @@
         posts were served whole and posts four fifths. Harm: a class with a long aim, or that earns much
         after it, is refused what it could have had.
         """
-        if kind.worth == self.cheap:
+        if flight.kind.worth == self.cheap:
             return CHEAP_HOLD * self.shortest
-        return self.shortest - self.latency[kind.name]
+        return self.shortest - self._mean(flight)
 
     def _advice(self, customer: Customer, plan: Plan, units: float) -> float:
         """When a request refused for the quota may come again: when the bucket has drained for it."""
@@ -437,22 +437,23 @@
         elif status in (Status.CONNECT_FAILED, Status.RESET):
             self._mark(server, whole, failed=True, why=status.value)
 
-    def _press(self, server: Server, kind: RequestClass, event: Outcome) -> None:
+    def _press(self, server: Server, flight: Flight, event: Outcome) -> None:
         """What may be out from here at all servers together, moved by every answer.
 
         Guards against any cause that makes servers slower than the aim: overload, neighbours, costly
         requests, queues that fill. It sums over all gateways, however many: a limit of one at each server
         would be hundreds, and each gateway meets a server once in seconds. Silent attempts leave it as they
-        become slow, so that servers that hang don't stop the rest. Harm: few slow servers hold all back a
-        little; where single requests take most of the aim by nature, it keeps too little out.
+        become slow, so that servers that hang don't stop the rest. What the size of a request adds is left
+        out. Harm: few slow servers hold all back a little.
         """
         if event.status is not Status.OK:
             return
+        kind, latency = flight.kind, event.latency_ms - self._extra(flight)
         known = self.quick[kind.name]
         known.pop(server.id, None)
-        if event.latency_ms > SLOW * kind.aim_ms:
+        if latency > SLOW * kind.aim_ms:
             self.pool = max(LEAST_POOL, self.pool - POOL_CUT * min(1.0, self.pool))
-        elif event.latency_ms < QUICK * kind.aim_ms:
+        elif latency < QUICK * kind.aim_ms:
             known[server.id] = server
             if len(known) > SAMPLE:
                 del known[next(iter(known))]
@@ -485,7 +486,7 @@
 
     def _lost(self, flight: Flight, sent: float) -> bool:
         """Whether an attempt has been out for so long that its answer will hardly come any more."""
-        return self.now - sent >= LOST * self.latency[flight.kind.name]
+        return self.now - sent >= LOST * self._mean(flight)
 
     def _on_late(self, which: tuple[Flight, int]) -> None:
         """An attempt still out after the aim, and lost: the request is given up.
@@ -497,10 +498,25 @@
         if number in flight.out and not flight.streaming and self._lost(flight, flight.out[number][1]):
             self._answer(flight)
 
-    def _learn(self, server: Server, kind: RequestClass, latency: float) -> None:
-        """Mean latency of the class and relative latency of the server, from one good answer."""
-        mean = self.latency[kind.name]
-        self.latency[kind.name] = mean + LATENCY_STEP * (latency - mean)
+    def _mean(self, flight: Flight) -> float:
+        """The mean latency of requests of this class and size, or what is taken for it at first."""
+        return self.latency[flight.kind.name].get(flight.size, (FIRST_LATENCY * flight.kind.aim_ms, 0))[0]
+
+    def _extra(self, flight: Flight) -> float:
+        """How much longer a request of this size takes than the smallest of its class, by its work.
+
+        Guards against taking size for slowness: where units tell of work, one of four units takes half of
+        the aim at an idle server. A wait at servers lengthens all sizes alike and so does not show here.
+        """
+        means = self.latency[flight.kind.name]
+        return max(0.0, means[flight.size][0] - means[min(means)][0]) if flight.size in means else 0.0
+
+    def _learn(self, server: Server, flight: Flight, latency: float) -> None:
+        """Mean latency of the class and size, and relative latency of the server, from one good answer."""
+        mean = self._mean(flight)
+        seen = self.latency[flight.kind.name].get(flight.size, (mean, 0))[1] + 1
+        mean += max(LATENCY_STEP, 1.0 / (seen + 1)) * (latency - mean)
+        self.latency[flight.kind.name][flight.size] = mean, seen
         ratio = 1.0 + (server.ratio - 1.0) * self._fade(server.ratio_at)
         server.ratio = ratio + SERVER_STEP * (latency / mean - ratio)
         server.ratio_at = (self.now, self.sends)
@@ -549,7 +565,7 @@
         self.sends += 1
         self.young.add((request.request_id, number))
         self.actions.append(Send(request.request_id, server.id))
-        self._arm(SLOW * flight.kind.aim_ms, self._on_slow, (flight, number), flight)
+        self._arm(SLOW * flight.kind.aim_ms + self._extra(flight), self._on_slow, (flight, number), flight)
 
     def _may_resend(self, flight: Flight) -> bool:
         return flight.sends < self.settings.limits.max_attempts and self.retries >= 1.0
@@ -563,12 +579,12 @@
         self.young.discard((event.request_id, event.attempt))
         flight.customer.out -= 1
         self._judge(flight, server, event.status)
-        self._press(server, flight.kind, event)
+        self._press(server, flight, event)
         self._report(server, event.load)
         if event.used_percent is not None:
             flight.customer.used, flight.customer.used_at = event.used_percent / 100.0, self.now
         if event.status is Status.OK:
-            self._learn(server, flight.kind, event.latency_ms)
+            self._learn(server, flight, event.latency_ms)
             if event.final_units is not None and not flight.closed:
                 self._settle(flight.customer, flight.request.units, event.final_units)
         if event.closed or event.status is Status.OK:
@@ -702,7 +718,7 @@
         flight = Flight(event, kind, plan, customer, self.now, self.random.random())
         before = customer.excess, customer.touched
         hold = self._meter(customer, plan, kind, event.units)
-        if hold and hold >= min(event.patience_ms, self._useful(kind)):
+        if hold and hold >= min(event.patience_ms, self._useful(flight)):
             customer.excess, customer.touched = before
             self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
             return
@@ -741,7 +757,7 @@
         refused though it would have been served in time.
         """
         if flight.request.request_id not in self.parked:
-            last = flight.arrived + flight.kind.aim_ms - self.latency[flight.kind.name]
+            last = flight.arrived + flight.kind.aim_ms - self._mean(flight)
             self._arm(max(0.0, last - self.now), self._end_park, flight, flight)
         self.parked[flight.request.request_id] = flight
         if self.servers and len(self.parked) > max(1.0, self.pool):
@@ -751,7 +767,7 @@
 
     def _value(self, flight: Flight) -> float:
         """Worth for the work: what is refused last and released first."""
-        return flight.kind.worth * flight.plan.price * flight.request.units / self.latency[flight.kind.name]
+        return flight.kind.worth * flight.plan.price * flight.request.units / self._mean(flight)
 
     def _end_park(self, flight: Flight) -> None:
         if flight.sends == 0 and any(server.ready for server in self.servers.values()):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -241,7 +241,7 @@
         if name in rig.sent:
             rig.finish(name, latency=3900.0)
         rig.run(1000.0)
-    assert rig.gateway.latency["safe"] > 2000.0
+    assert rig.gateway.latency["safe"][1][0] > 2000.0
     assert rig.ask("metered") in rig.sent
 
 
@@ -298,6 +298,38 @@
     assert rig.gateway.pool == pytest.approx(5.7 + 0.035)
 
 
+def sized_rig() -> Rig:
+    """The same, having seen that four units take 1,000 ms longer than one, by their work."""
+    rig = pool_rig()
+    for units, latency in ((1, 100.0), (4, 1100.0)):
+        for _ in range(40):
+            rig.finish(rig.ask(units=units), latency=latency)
+    rig.gateway.pool = 6.0
+    for server in rig.gateway.servers.values():
+        server.marks.clear()
+    return rig
+
+
+def test_what_the_size_of_a_request_adds_does_not_take_off_the_pool():
+    rig = sized_rig()
+    rig.finish(rig.ask(units=4), latency=1300.0)
+    assert rig.gateway.pool == pytest.approx(6.0)
+    rig.finish(rig.ask(units=4), latency=2100.0)  # more than half of the aim beyond what four units add
+    assert rig.gateway.pool == pytest.approx(6.0 - 0.3)
+    rig.finish(rig.ask(units=1), latency=1300.0)
+    assert rig.gateway.pool == pytest.approx(6.0 - 0.6)
+
+
+def test_a_big_request_out_for_its_usual_time_is_neither_doubted_nor_given_up():
+    rig = sized_rig()
+    small, big = rig.ask(units=1), rig.ask(units=4)
+    rig.run(1500.0)
+    marked = {number for number, server in rig.gateway.servers.items() if server.marks}
+    assert marked >= set(rig.sent[small]) and not marked & set(rig.sent[big])
+    rig.run(900.0)  # beyond the aim, yet but two mean latencies of its size
+    assert big not in rig.answers and len(rig.sent[big]) == 1
+
+
 def test_silent_attempts_leave_the_pool_when_slow():
     rig = pool_rig()
     for _ in range(12):
@@ -393,7 +425,7 @@
 def hung(class_name: str, mean: float) -> tuple[Rig, str]:
     """A request out without an answer, at servers that answer its class in this time on the mean."""
     rig = fleet(2)
-    rig.gateway.latency[class_name] = mean
+    rig.gateway.latency[class_name][1] = (mean, 1)
     return rig, rig.ask(class_name=class_name)
 
 
