Take turns at a cap that has fewer places than the customer has gateways

While no more than the cap were seen out, each gateway keeps its place, as designed. Once the meter has shown more, as many gateways as there are places have their turn, a meter period each, by the clock that all machines read and counted from the first of the customer's set. What comes in out of turn waits if the turn comes in time for its aim, and is refused at once otherwise.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -52,6 +52,8 @@
 WORTH_BURST = 0.25  # by which the burst grows for a class of endless worth, to have what others leave
 CHEAP_HOLD = 0.1  # of the shortest aim, for which the least worthy class is held: the worthier wait longer
 THIN_BURST = 2.0  # requests by which an unused thin slice's burst grows: two by chance are no abuse
+TURN_PERIODS = 1.0  # meter periods of a gateway's turn at scarce places: long beside an attempt
+SCARCE_PERIODS = 10.0  # meter periods for which places stay scarce after more were out than the cap allows
 NEWS_PERIODS = 4.0  # meter periods a reading stays news: the period, its lateness, a gap in traffic
 
 # Time
@@ -99,11 +101,11 @@
     """What this gateway knows of one customer: its excess, its late metered use, what it has out."""
 
     __slots__ = ("excess", "touched", "largest", "width", "used", "used_at", "out", "ceiling", "ceiling_at",
-                 "asked", "asked_at")
+                 "asked", "asked_at", "over_at")
 
     def __init__(self, now: float, ceiling: float) -> None:
         self.excess, self.touched, self.largest, self.width = 0.0, now, 0.0, 1
-        self.used, self.used_at = 0.0, -inf
+        self.used, self.used_at, self.over_at = 0.0, -inf, -inf  # over_at: a reading beyond the quota
         self.asked, self.asked_at = 0.0, now  # an excess that counts what was refused as well
         self.out = 0
         self.ceiling, self.ceiling_at = ceiling, now
@@ -325,6 +327,22 @@
         cap = flight.plan.max_in_flight
         return max(1, int(cap * self._share(flight.customer))) if cap else inf
 
+    def _turn_wait(self, flight: Flight) -> float:
+        """Milliseconds until it is this gateway's turn at a cap with fewer places than gateways.
+
+        The even slice is one place at least, so three gateways let out three where two may be. Once the
+        meter has shown more out than the cap, as many gateways as there are places have their turn at a
+        time, by the clock that all machines read, counted from the first of the customer's set. Harm: what
+        comes in where the turn has passed is refused, or waits, though a place may be free.
+        """
+        customer, places, period = flight.customer, flight.plan.max_in_flight, self.settings.meter_period_ms
+        if not places or places >= customer.width or self.now - customer.over_at >= SCARCE_PERIODS * period:
+            return 0.0
+        turn, into = divmod(self.now, TURN_PERIODS * period)
+        place = (self.settings.index - flight.request.first_gateway) % self.settings.gateways
+        ahead = int(place - turn) % customer.width
+        return 0.0 if ahead < places else (ahead - places + 1) * TURN_PERIODS * period - into
+
     def _fresh_ceiling(self, plan: Plan, width: int) -> float:
         """The ceiling's share of a customer not seen since the start: unknown history starts at nought."""
         return min(plan.ceiling_burst, plan.ceiling_rate * (self.now - self.started_at) / 1000.0) / width
@@ -583,6 +601,8 @@
         self._report(server, event.load)
         if event.used_percent is not None:
             flight.customer.used, flight.customer.used_at = event.used_percent / 100.0, self.now
+            if event.used_percent > 100.0:
+                flight.customer.over_at = self.now
         if event.status is Status.OK:
             self._learn(server, flight, event.latency_ms)
             if event.final_units is not None and not flight.closed:
@@ -738,10 +758,11 @@
     def _release(self, flight: Flight) -> None:
         """First send: within the in-flight cap and the ceiling, to a server; else parked until it may go."""
         request_id = flight.request.request_id
-        wait = self._ceiling_wait(flight)
-        if wait >= flight.deadline - self.now:
+        wait, turn = self._ceiling_wait(flight), self._turn_wait(flight)
+        if wait >= flight.deadline - self.now or turn > max(0.0, self._last_start(flight) - self.now):
             self._answer(flight)
             return
+        wait = max(wait, turn)
         capped = flight.customer.out >= self._in_flight_cap(flight)
         server = None if wait or capped else self._choose(flight)
         if server:
@@ -750,6 +771,10 @@
             return
         self._park(flight, wait)
 
+    def _last_start(self, flight: Flight) -> float:
+        """When an attempt has to go for an answer within the aim."""
+        return flight.arrived + flight.kind.aim_ms - self._mean(flight)
+
     def _park(self, flight: Flight, wait: float) -> None:
         """Hold what can't go now; the least worth for its work is refused when more wait than go at once.
 
@@ -757,8 +782,7 @@
         refused though it would have been served in time.
         """
         if flight.request.request_id not in self.parked:
-            last = flight.arrived + flight.kind.aim_ms - self._mean(flight)
-            self._arm(max(0.0, last - self.now), self._end_park, flight, flight)
+            self._arm(max(0.0, self._last_start(flight) - self.now), self._end_park, flight, flight)
         self.parked[flight.request.request_id] = flight
         if self.servers and len(self.parked) > max(1.0, self.pool):
             self._answer(min(self.parked.values(), key=self._value))
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -7,6 +7,8 @@
 
 from brackenloft import ClientGone, Effect, Request, RequestClass, Status
 
+BRIEF = RequestClass("brief", 500.0, 4000.0, Effect.SAFE)
+
 
 def done(rig, name) -> bool:
     """Whether it was sent; if so it is answered at once."""
@@ -146,7 +148,7 @@
 
 def test_hold_past_the_shortest_aim_is_a_refusal():
     # aim 500 ms, first mean latency 100 ms: a hold may last 400 ms, two units at 5 a second
-    rig = rig_with(classes=(*CLASSES, RequestClass("brief", 500.0, 4000.0, Effect.SAFE)))
+    rig = rig_with(classes=(*CLASSES, BRIEF))
     rig.servers(entry(1), entry(2))
     for _ in range(4):
         rig.ask("metered")
@@ -238,3 +240,59 @@
         passed += len(rig.sent)
     # each: one at first, and what 10 / 60 a second drains in 20 s
     assert passed <= 60 * (1 + 20 * 10 / 60 + 1)
+
+
+def set_of_three(used: float | None) -> list[Rig]:
+    """Three gateways of a customer that may have two out, having read this of its use, at one clock."""
+    rigs = [Rig(replace(SETTINGS, gateways=3, index=index, classes=(*CLASSES, BRIEF))) for index in range(3)]
+    for rig in rigs:
+        rig.servers(entry(1), entry(2))
+        rig.finish(rig.ask("only-cap", width=3), used=used)
+    return rigs
+
+
+def takers(rigs: list[Rig]) -> list[int]:
+    """The gateways that send a request of the customer at once; it is answered."""
+    took = []
+    for index, rig in enumerate(rigs):
+        name = rig.ask("only-cap", "brief", width=3)
+        if name in rig.sent:
+            took.append(index)
+            rig.finish(name)
+    return took
+
+
+def test_gateways_take_turns_at_a_cap_with_fewer_places_once_it_was_exceeded():
+    rigs = set_of_three(used=150.0)
+    turns = []
+    for _ in range(6):
+        turns.append(tuple(takers(rigs)))
+        for rig in rigs:
+            rig.run(1000.0)
+    assert all(len(turn) == 2 for turn in turns) and len(set(turns[:3])) == 3 and turns[:3] == turns[3:]
+
+
+@pytest.mark.parametrize("used", [None, 100.0])
+def test_a_cap_that_was_not_exceeded_leaves_each_gateway_its_place(used):
+    rigs = set_of_three(used)
+    assert takers(rigs) == [0, 1, 2]
+
+
+def test_each_gateway_has_its_place_again_some_time_after_the_cap_was_exceeded():
+    rigs = set_of_three(used=150.0)
+    for rig in rigs:
+        rig.run(10_000.0)
+    assert takers(rigs) == [0, 1, 2]
+
+
+def test_a_request_out_of_turn_is_refused_at_once_unless_the_turn_comes_in_time():
+    rig = Rig(replace(SETTINGS, gateways=3, index=2, classes=(*CLASSES, BRIEF)))
+    rig.servers(entry(1), entry(2))
+    rig.now = 3000.0  # a round of turns begins: the last of the set has the next one
+    rig.finish(rig.ask("only-cap", width=3), used=150.0)
+    assert rig.ask("only-cap", "brief", width=3) in rig.answers  # its turn comes 1000 ms on
+    rig.run(800.0)
+    late = rig.ask("only-cap", "brief", width=3)
+    assert late not in rig.sent and late not in rig.answers
+    rig.run(210.0)
+    assert late in rig.sent
