Start the turns at a scarce cap when a request finds the place here taken

Second by second, all lie in its two spikes of three seconds: 30 to 40 in each of the first two seconds, while the last reading still says 50 percent at all four gateways, and few after it says 150. The meter's period and its lateness (1.2 to 2.5 s together) are as long as the spike. A gateway sees its own part at once: the place it has is taken when the next request comes (logic.py, _on_request), ten times a second.

A request that finds an attempt of its customer out here now makes the places scarce for one meter period; a reading over the cap does so for ten, as before.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -54,6 +54,7 @@
 THIN_BURST = 2.0  # requests by which an unused thin slice's burst grows: two by chance are no abuse
 TURN_PERIODS = 1.0  # meter periods of a gateway's turn at scarce places: long beside an attempt
 SCARCE_PERIODS = 10.0  # meter periods for which places stay scarce after more were out than the cap allows
+CROWD_PERIODS = 1.0  # the same after a request found this gateway's place taken, which may be chance
 NEWS_PERIODS = 4.0  # meter periods a reading stays news: the period, its lateness, a gap in traffic
 
 # Time
@@ -101,11 +102,12 @@
     """What this gateway knows of one customer: its excess, its late metered use, what it has out."""
 
     __slots__ = ("excess", "touched", "largest", "width", "used", "used_at", "out", "ceiling", "ceiling_at",
-                 "asked", "asked_at", "over_at")
+                 "asked", "asked_at", "scarce_until")
 
     def __init__(self, now: float, ceiling: float) -> None:
         self.excess, self.touched, self.largest, self.width = 0.0, now, 0.0, 1
-        self.used, self.used_at, self.over_at = 0.0, -inf, -inf  # over_at: a reading beyond the quota
+        self.used, self.used_at = 0.0, -inf
+        self.scarce_until = -inf  # until when the places under its cap are shared in turns
         self.asked, self.asked_at = 0.0, now  # an excess that counts what was refused as well
         self.out = 0
         self.ceiling, self.ceiling_at = ceiling, now
@@ -327,16 +329,22 @@
         cap = flight.plan.max_in_flight
         return max(1, int(cap * self._share(flight.customer))) if cap else inf
 
+    def _scarce(self, customer: Customer, periods: float) -> None:
+        """Places under the customer's cap are scarce for so many meter periods from now."""
+        until = self.now + periods * self.settings.meter_period_ms
+        customer.scarce_until = max(customer.scarce_until, until)
+
     def _turn_wait(self, flight: Flight) -> float:
         """Milliseconds until it is this gateway's turn at a cap with fewer places than gateways.
 
-        The even slice is one place at least, so three gateways let out three where two may be. Once the
-        meter has shown more out than the cap, as many gateways as there are places have their turn at a
-        time, by the clock that all machines read, counted from the first of the customer's set. Harm: what
-        comes in where the turn has passed is refused, or waits, though a place may be free.
+        The even slice is one place at least, so three gateways let out three where two may be. While places
+        are scarce, as many gateways as there are places have their turn at a time, by the clock that all
+        machines read, counted from the first of the customer's set. The meter shows a spike when half of it
+        is over: that a request finds the place here taken tells at once. Harm: what comes in where the turn
+        has passed is refused, or waits, though a place may be free.
         """
         customer, places, period = flight.customer, flight.plan.max_in_flight, self.settings.meter_period_ms
-        if not places or places >= customer.width or self.now - customer.over_at >= SCARCE_PERIODS * period:
+        if not places or places >= customer.width or self.now >= customer.scarce_until:
             return 0.0
         turn, into = divmod(self.now, TURN_PERIODS * period)
         place = (self.settings.index - flight.request.first_gateway) % self.settings.gateways
@@ -602,7 +610,7 @@
         if event.used_percent is not None:
             flight.customer.used, flight.customer.used_at = event.used_percent / 100.0, self.now
             if event.used_percent > 100.0:
-                flight.customer.over_at = self.now
+                self._scarce(flight.customer, SCARCE_PERIODS)
         if event.status is Status.OK:
             self._learn(server, flight, event.latency_ms)
             if event.final_units is not None and not flight.closed:
@@ -742,6 +750,8 @@
             customer.excess, customer.touched = before
             self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
             return
+        if customer.out:
+            self._scarce(customer, CROWD_PERIODS)
         self.flights[event.request_id] = flight
         self._limit(flight)
         if hold > 0.0:
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -296,3 +296,19 @@
     assert late not in rig.sent and late not in rig.answers
     rig.run(210.0)
     assert late in rig.sent
+
+
+def test_a_request_that_finds_the_place_taken_starts_the_turns_before_the_meter_shows_it():
+    rigs = set_of_three(used=100.0)
+    held = [rig.ask("only-cap", "brief", width=3) for rig in rigs]
+    second = [rig.ask("only-cap", "brief", width=3) for rig in rigs]
+    assert all(name in rig.sent for rig, name in zip(rigs, held, strict=True))
+    for rig, name in zip(rigs, held, strict=True):
+        rig.finish(name)
+    assert sum(name in rig.sent for rig, name in zip(rigs, second, strict=True)) == 2
+    for rig in rigs:
+        rig.run(1000.0)
+    for rig, name in zip(rigs, second, strict=True):
+        if name in rig.sent:
+            rig.finish(name)
+    assert takers(rigs) == [0, 1, 2]  # it was chance: nothing has come since
