Advise the time at which the bucket takes a request, and only in time for its aim

A client also comes by other gateways of its set, whose buckets may have room.

Ruled out: slices that are too small.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -308,15 +308,22 @@
             return CHEAP_HOLD * self.shortest
         return self.shortest - self._mean(flight)
 
-    def _advice(self, customer: Customer, plan: Plan, units: float) -> float:
-        """When a request refused for the quota may come again: when the bucket has drained for it."""
-        limits = self.settings.limits
+    def _advice(self, flight: Flight) -> float:
+        """When a request refused for the quota may come again: when the bucket would take it, held or not.
+
+        Nothing is advised where that is too late for its aim. Guards against sending clients away until
+        all that they could earn is lost: they come by another gateway too, whose bucket may have room.
+        Harm: a client that is told nothing may come in vain.
+        """
+        limits, customer, plan = self.settings.limits, flight.customer, flight.plan
         if not limits.can_advise_retry:
             return 0.0
         rate = plan.rate * self._share(customer)
-        burst = max(plan.burst / customer.width, customer.largest) * THOUSANDTHS
-        excess = customer.excess - rate * (self.now - customer.touched) + THOUSANDTHS * units
-        return min(limits.max_retry_after_ms, max(0.0, excess - burst) / rate)
+        burst = max(plan.burst / customer.width, customer.largest) * THOUSANDTHS * self._worthier(flight.kind)
+        excess = customer.excess - rate * (self.now - customer.touched) + THOUSANDTHS * flight.request.units
+        hold = min(burst / rate, flight.request.patience_ms, max(0.0, self._useful(flight)))
+        wait = max(0.0, (excess - burst) / rate - hold)
+        return min(limits.max_retry_after_ms, wait) if wait <= self._last_start(flight) - self.now else 0.0
 
     def _settle(self, customer: Customer, guess: float, true: float) -> None:
         """Put a guess right once the answer tells the units."""
@@ -748,7 +755,7 @@
         hold = self._meter(customer, plan, kind, event.units)
         if hold and hold >= min(event.patience_ms, self._useful(flight)):
             customer.excess, customer.touched = before
-            self.actions.append(Refuse(event.request_id, self._advice(customer, plan, event.units)))
+            self.actions.append(Refuse(event.request_id, self._advice(flight)))
             return
         if customer.out:
             self._scarce(customer, CROWD_PERIODS)
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,8 +1,9 @@
 """Before a planned end, and when to come back after a refusal over quota."""
 
+import pytest
 from conftest import Rig, entry, rig_with
 
-from brackenloft import Limits, Plan, Refuse, Stopping
+from brackenloft import Effect, Limits, Plan, Refuse, RequestClass, Stopping
 
 
 def test_all_in_hand_and_all_that_comes_is_answered_before_the_end(rig):
@@ -23,22 +24,35 @@
     assert rig.answers == {name: "Refuse"}
 
 
-def test_refusal_over_quota_tells_when_the_bucket_has_drained_so_that_coming_back_then_is_sent_at_once():
-    rig = rig_with(limits=Limits(can_advise_retry=True, max_retry_after_ms=60_000.0),
-                   plans=(Plan("metered", rate=2.0, burst=4.0),))
+def advising(aim_ms: float, **more) -> Rig:
+    """Two gateways of a customer with a quota of two units a second and four at once."""
+    kinds = (RequestClass("safe", aim_ms, 4000.0, Effect.SAFE),)
+    limits = Limits(can_advise_retry=True, **more)
+    rig = rig_with(classes=kinds, limits=limits, plans=(Plan("metered", rate=2.0, burst=4.0),))
     rig.servers(entry(1), entry(2))
+    return rig
+
+
+def test_refusal_over_quota_tells_when_the_bucket_takes_the_request_to_hold_it():
+    # two are sent; the third has 1000 thousandths too many, 1000 ms at one a second, and the fourth 2000 ms,
+    # of which a hold may last the aim less a mean latency, a fifth of it: 480 ms, or 1440 ms
+    refusal = first_refusal(advising(600.0, max_retry_after_ms=60_000.0))
+    assert refusal.request_id == "r3" and refusal.retry_after_ms == 0.0  # 520 ms on it would be late
+    rig = advising(1800.0, max_retry_after_ms=60_000.0)
     refusal = first_refusal(rig)
-    assert 0.0 < refusal.retry_after_ms < 60_000.0
+    assert refusal.request_id == "r4" and refusal.retry_after_ms == pytest.approx(560.0)
     rig.run(refusal.retry_after_ms + 1.0)
-    assert rig.ask("metered") in rig.sent
+    again = rig.ask("metered")
+    assert again not in rig.answers and again not in rig.sent
+    rig.run(1440.0)
+    assert again in rig.sent
 
 
 def test_advice_is_bounded_and_given_only_where_the_settings_allow_it():
-    plans = (Plan("metered", rate=2.0, burst=4.0),)
-    for limits, told in ((Limits(can_advise_retry=True, max_retry_after_ms=7.0), 7.0), (Limits(), 0.0)):
-        rig = rig_with(limits=limits, plans=plans)
-        rig.servers(entry(1), entry(2))
-        assert first_refusal(rig).retry_after_ms == told
+    assert first_refusal(advising(1800.0, max_retry_after_ms=7.0)).retry_after_ms == 7.0
+    rig = rig_with(limits=Limits(), plans=(Plan("metered", rate=2.0, burst=4.0),))
+    rig.servers(entry(1), entry(2))
+    assert first_refusal(rig).retry_after_ms == 0.0
 
 
 def first_refusal(rig: Rig) -> Refuse:
