Give a request up that is turned away after an error, and doubt nobody for it

PROTOCOL words it: -BUSY is also the answer for a request that is already over. logic.py, _again went on to the next server each time and _judge noted each -BUSY against its server for class and plan.

Ruled out: answers passed on broken. Kind of the bytes and class of the request: either sort of follow-up comes in the same shares.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -141,7 +141,8 @@
     """A request in hand: held, parked or out, or answered with attempts still out."""
 
     __slots__ = ("request", "kind", "plan", "customer", "arrived", "deadline", "sends", "out", "tried",
-                 "closed", "maybe_ran", "streaming", "waiting", "turn", "keys", "timers", "size")
+                 "closed", "maybe_ran", "streaming", "waiting", "turn", "keys", "timers", "size",
+                 "erred")
 
     def __init__(
         self, request: Request, kind: RequestClass, plan: Plan, customer: Customer, now: float,
@@ -153,7 +154,7 @@
         self.sends, self.turn = 0, turn  # the turn says which cold servers it may go to, once for all
         self.out: dict[int, tuple[Server, float]] = {}
         self.tried: set[int] = set()
-        self.closed = self.streaming = False
+        self.closed = self.streaming = self.erred = False  # erred: a server answered, but no good answer
         self.timers: list[int] = []  # tokens of those that are for this request alone
         self.waiting = False  # for the end of a hold; the bucket's timer releases it
         self.maybe_ran: tuple[Server, float] | None = None  # the first attempt that may have run
@@ -458,6 +459,7 @@
         """Note an outcome; attempts that wait in vain are noted as they become slow.
 
         A server that turns one away as full may do so to its class and plan alone, and others go on there.
+        After an error elsewhere it tells nothing of the server: the request is over, see _again.
         """
         whole, kind, both = flight.keys
         if status is Status.OK:
@@ -465,7 +467,7 @@
                 self._mark(server, key, failed=False)
         elif status is Status.ERROR:
             self._mark(server, kind, failed=True, why=status.value)
-        elif status is Status.FULL:
+        elif status is Status.FULL and not flight.erred:
             self._mark(server, both, failed=True, why=status.value)
         elif status in (Status.CONNECT_FAILED, Status.RESET):
             self._mark(server, whole, failed=True, why=status.value)
@@ -630,11 +632,21 @@
         self._retry_parked()
 
     def _again(self, flight: Flight, status: Status, attempt: tuple[Server, float]) -> None:
-        """After a failed attempt: another one where class, budget and time allow it, else the answer."""
+        """After a failed attempt: another one where class, budget and time allow it, else the answer.
+
+        Servers turn away a request that is over, and one whose first answer came but could not be read may
+        be: turned away after an error, it is given up. Guards against spending all attempts on it. Harm:
+        where servers err and others are full by chance, a third would have served it.
+        """
+        over = status is Status.FULL and flight.erred
+        flight.erred = flight.erred or status is Status.ERROR
         if status not in (Status.FULL, Status.CONNECT_FAILED, Status.NOT_SENT) and flight.maybe_ran is None:
             flight.maybe_ran = attempt
         if flight.out or flight.streaming:
             return
+        if over:
+            self._answer(flight)
+            return
         if status is not Status.NOT_SENT and self.now < flight.deadline and self._may_resend(flight):
             server = self._choose(flight)
             if server:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -459,3 +459,15 @@
     assert second not in rig.answers and second not in rig.sent
     rig.finish(first)
     assert second in rig.sent
+
+
+def test_a_request_turned_away_after_an_error_is_over_and_no_mark_against_the_server():
+    rig = fleet(4)
+    name = rig.ask()
+    rig.finish(name, Status.ERROR)
+    second = rig.gateway.servers[rig.sent[name][1]]
+    rig.finish(name, Status.FULL)
+    assert rig.answers[name] == "Refuse" and len(rig.sent[name]) == 2 and not second.marks
+    name = rig.ask()
+    rig.finish(name, Status.FULL)  # without an error before it, others may have room
+    assert name not in rig.answers and len(rig.sent[name]) == 2
