Take operators' calls: ready, detach and attach, with bans as state of the module

Calls come in over HTTP/1.1 at `mgmt` or $EDGE_MGMT; where neither is told, nothing listens. Detach closes idle and connecting connections to the server before the yes is written; lists, restarts and absences change nothing until attach, after which the server is cold: from the start a list tells of if it lies after the ban, else from the call back.

--- a/brackenloft/__init__.py
+++ b/brackenloft/__init__.py
@@ -2,12 +2,15 @@
 
 from brackenloft.interface import (
     Action,
+    Attach,
+    Bar,
     Cancel,
     ClientGone,
     CloseIdle,
     Contract,
     CounterAdd,
     CounterReply,
+    Detach,
     DiscoveryMode,
     Effect,
     Event,
@@ -41,9 +44,9 @@
 from brackenloft.logic import Gateway
 
 __all__ = [
-    "Action", "Cancel", "ClientGone", "CloseIdle", "Contract", "CounterAdd", "CounterReply", "DiscoveryMode",
-    "Effect", "Event", "Fail", "FetchList", "Gateway", "KeyScope", "Limits", "ListKind", "Log", "Outcome",
-    "PeerMessage", "Plan", "Probe", "ProbeResult", "Refuse", "Request", "RequestClass", "Send",
-    "ServerEntry", "ServerList", "ServerState", "SetTimer", "Settings", "Status", "Stopping",
-    "StreamStarted", "Subscribe", "TellPeer", "TimerFired",
+    "Action", "Attach", "Bar", "Cancel", "ClientGone", "CloseIdle", "Contract", "CounterAdd", "CounterReply",
+    "Detach", "DiscoveryMode", "Effect", "Event", "Fail", "FetchList", "Gateway", "KeyScope", "Limits",
+    "ListKind", "Log", "Outcome", "PeerMessage", "Plan", "Probe", "ProbeResult", "Refuse", "Request",
+    "RequestClass", "Send", "ServerEntry", "ServerList", "ServerState", "SetTimer", "Settings", "Status",
+    "Stopping", "StreamStarted", "Subscribe", "TellPeer", "TimerFired",
 ]
--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -21,12 +21,14 @@
 from brackenloft.net.clients import Clients
 from brackenloft.net.discovery import Discovery
 from brackenloft.net.driver import Clock, Driver
+from brackenloft.net.management import MOST_CALLERS, Management
 from brackenloft.net.servers import Address, Servers
 from brackenloft.settings import settings_from
 
 log = logging.getLogger("brackenloft")
 
 OTHER_DESCRIPTORS = 32  # beside clients and servers: the log, the loop, discovery, the listener, a margin
+FOR_CALLERS = 2 * MOST_CALLERS  # of operators: one that makes room is closed a turn of the loop later
 SERVERS_SHARE = 0.25  # of the rest. Clients hold a third of all for requests, as many again have asked once
 # and may not be closed for 2 s, and some say nothing; what is out at servers is a small part of that
 MEGABYTE = 1 << 20
@@ -76,6 +78,7 @@
     path: Path
     listen: Address
     discovery: Address
+    mgmt: Address | None  # where operators call, if they do
     seed: int
     descriptors: int
     memory: int  # bytes
@@ -87,9 +90,11 @@
         """From EDGE_CONFIG; EDGE_LISTEN and EDGE_DISCOVERY, where set, say the same or come first."""
         path = Path(environment["EDGE_CONFIG"])
         document = json.loads(path.read_text())
+        mgmt = environment.get("EDGE_MGMT") or document.get("mgmt")
         return Config(
             path=path, listen=_address(environment.get("EDGE_LISTEN") or document["listen"]),
             discovery=_address(environment.get("EDGE_DISCOVERY") or document["discovery"]),
+            mgmt=_address(mgmt) if mgmt else None,
             seed=int(document["seed"], 16), descriptors=int(document["limits"]["sockets"]),
             memory=int(document["limits"]["memory_mb"]) * MEGABYTE,
             known=document["known"], settings=settings_from(document["settings"]),
@@ -118,7 +123,7 @@
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, again.set)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-    budget = max(2, config.descriptors - OTHER_DESCRIPTORS)
+    budget = max(2, config.descriptors - OTHER_DESCRIPTORS - (FOR_CALLERS if config.mgmt else 0))
     for_servers = int(budget * SERVERS_SHARE)
     held = max(LEAST_HELD, int((config.memory - PROGRAM) * HELD_SHARE))
     servers = Servers(config.settings, for_servers, held)
@@ -141,6 +146,17 @@
             again.clear()
             _reload(config.path, discovery)
 
+    async def moved(name: str, out: bool) -> bool:
+        number = discovery.roster.find(name)
+        if number is None:
+            return False
+        (discovery.roster.barred.add if out else discovery.roster.barred.discard)(name)
+        driver.post(api.Detach(number) if out else api.Attach(number))
+        return True
+
+    management = Management(lambda: clients.ready and not stop.is_set(), moved)
+    if config.mgmt:
+        await management.listen(config.mgmt)
     reloading = loop.create_task(reload())
     clients.listen(*config.listen)
     loop.call_later(FIRST_LIST_S, lambda: setattr(clients, "ready", True))
@@ -148,6 +164,7 @@
     await stop.wait()
     await _leave(config.settings, driver, clients)
     reloading.cancel()
+    management.close()
     discovery.end()
     servers.close()
 
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -302,6 +302,20 @@
     within_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Detach:
+    """Operators took a server out: nothing more goes there, whatever lists say, until ``Attach``."""
+
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class Attach:
+    """Operators let a server serve again; it was started anew while it was out."""
+
+    server: int
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """Bytes from another gateway."""
@@ -322,7 +336,7 @@
 
 Event = (
     ServerList | Request | Outcome | StreamStarted | ClientGone | TimerFired
-    | ProbeResult | PeerMessage | CounterReply | Stopping
+    | ProbeResult | PeerMessage | CounterReply | Stopping | Detach | Attach
 )
 
 
@@ -399,6 +413,14 @@
     server: int
 
 
+@dataclass(frozen=True, slots=True)
+class Bar:
+    """Keep every attempt whose first byte is not written yet from a server, or no longer."""
+
+    server: int
+    barred: bool
+
+
 @dataclass(frozen=True, slots=True)
 class TellPeer:
     """Send bytes to one gateway, or to all with -1."""
@@ -417,6 +439,6 @@
 
 
 Action = (
-    Send | Refuse | Fail | Cancel | SetTimer | Log | Subscribe | FetchList | Probe | CloseIdle
+    Send | Refuse | Fail | Cancel | SetTimer | Log | Subscribe | FetchList | Probe | CloseIdle | Bar
     | TellPeer | CounterAdd
 )
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -18,8 +18,11 @@
 
 from brackenloft.interface import (
     Action,
+    Attach,
+    Bar,
     Cancel,
     ClientGone,
+    Detach,
     DiscoveryMode,
     Effect,
     Event,
@@ -116,8 +119,8 @@
 class Server:
     """What this gateway knows of one server."""
 
-    __slots__ = ("id", "zone", "cell", "ready", "started", "out", "ratio", "ratio_at", "queue", "queue_at",
-                 "marks", "phase")
+    __slots__ = ("id", "zone", "cell", "ready", "listed", "started", "out", "ratio", "ratio_at",
+                 "queue", "queue_at", "marks", "phase")
 
     def __init__(self, entry: ServerEntry, phase: float) -> None:
         self.phase = phase
@@ -134,7 +137,7 @@
     def update(self, entry: ServerEntry) -> None:
         """Take over what discovery says."""
         self.zone, self.cell, self.started = entry.zone, entry.cell, entry.started_ms
-        self.ready = entry.state is ServerState.READY
+        self.ready = self.listed = entry.state is ServerState.READY
 
 
 class Flight:
@@ -185,12 +188,15 @@
         self.sends = 0
         self.ready: list[Server] = []
         self.cold: list[Server] = []
+        self.barred: dict[int, float] = {}  # servers that operators took out, and since when
+        self.attached: dict[int, tuple[float, float]] = {}  # and let in again: since when out, and until when
         self.logged: set[str] = set()
         self.actions: list[Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
             Request: self._on_request, Outcome: self._on_outcome, TimerFired: self._on_timer,
             ServerList: self._on_list, ClientGone: self._on_gone, StreamStarted: self._on_stream,
             ProbeResult: self._on_probe, Stopping: self._on_stopping,
+            Detach: self._on_detach, Attach: self._on_attach,
         }
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
@@ -718,12 +724,15 @@
             self._remove(id for id in list(self.servers) if id not in listed)
         for entry in event.entries:
             self._take_entry(entry)
-        self.ready = [server for server in self.servers.values() if server.ready]
-        self.cold = [server for server in self.ready if self._warmth(server) < 1.0]
+        self._sort_servers()
         if event.kind is ListKind.CACHED:
             self.pool = FIRST_LIMIT * len(self.servers) / self.settings.gateways
         self._retry_parked()
 
+    def _sort_servers(self) -> None:
+        self.ready = [server for server in self.servers.values() if server.ready]
+        self.cold = [server for server in self.ready if self._warmth(server) < 1.0]
+
     def _ask(self, kind: ListKind) -> None:
         """Subscribe at the start and after a failure; ask again well within the time the rules give."""
         if kind in (ListKind.CACHED, ListKind.FAILED):
@@ -735,12 +744,13 @@
         server = self.servers.get(entry.server)
         if entry.state is ServerState.GONE:
             self._remove([entry.server])
-        elif server is None:
-            self.servers[entry.server] = Server(entry, self.random.random())
-        else:
-            if entry.started_ms > server.started:
-                server.reset()
-            server.update(entry)
+            return
+        if server is None:
+            server = self.servers[entry.server] = Server(entry, self.random.random())
+        elif entry.started_ms > server.started:
+            server.reset()
+        server.update(entry)
+        self._hold_out(server)
 
     def _remove(self, ids: Iterable[int]) -> None:
         for server_id in list(ids):
@@ -748,6 +758,51 @@
             if server:
                 server.ready = False
 
+    # ---- Operators
+
+    def _hold_out(self, server: Server) -> None:
+        """Bring what a list says of a server in line with what operators said of it.
+
+        Guards against discovery, which knows nothing of them: it lists a server that was taken out as
+        ready, and tells of its new start after it was let in again, or never.
+        """
+        if server.id in self.barred:
+            server.ready = False
+        elif server.id in self.attached:
+            out, until = self.attached[server.id]
+            if server.started <= out:  # no list has told of the start while it was out
+                server.started = until
+            if self.now - until >= self.settings.contract.warm_up_ms:
+                del self.attached[server.id]
+
+    def _on_detach(self, event: Detach) -> None:
+        """Nothing more to this server; what is out there already may end. A second call changes nothing."""
+        if event.server not in self.barred:
+            self.barred[event.server] = self.now
+            self._log(f"server {event.server} is taken out by operators")
+        self.attached.pop(event.server, None)
+        server = self.servers.get(event.server)
+        if server:
+            server.ready = False
+        self._sort_servers()
+        self.actions.append(Bar(event.server, True))
+
+    def _on_attach(self, event: Attach) -> None:
+        """The server may serve again, as one that has just started: it was, while it was out."""
+        out = self.barred.pop(event.server, None)
+        self.actions.append(Bar(event.server, False))
+        if out is None:
+            return
+        self._log(f"server {event.server} is let in again by operators, cold")
+        self.attached[event.server] = out, self.now
+        server = self.servers.get(event.server)
+        if server:
+            server.reset()
+            server.ready = server.listed
+            self._hold_out(server)
+        self._sort_servers()
+        self._retry_parked()
+
     # ---- Dispatch
 
     def _on_request(self, event: Request) -> None:
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -20,6 +20,7 @@
 BACKOFF_S = (0.05, 1.0)  # before another watch, first and at most
 CONNECT_S = 1.0
 LONGEST_LINE = 4 * 1024 * 1024
+MOST_ABSENT = 256  # servers that a list named before, whose numbers are remembered
 STATES = {
     "Ready": api.ServerState.READY, "Terminating": api.ServerState.DRAINING, "Gone": api.ServerState.GONE,
 }
@@ -31,7 +32,22 @@
 
     def __init__(self) -> None:
         self.numbers: dict[str, int] = {}
-        self.unused = count(1)  # never used again: an attempt on a server that is gone may still be out
+        self.absent: dict[str, int] = {}  # of servers that are listed no more, the latest last
+        self.barred: set[str] = set()  # servers that operators took out: their numbers are never forgotten
+        self.unused = count(1)  # never used for another: an attempt on a server that is gone may still be out
+
+    def find(self, name: str) -> int | None:
+        """The number of a server that is listed, or was."""
+        return self.numbers.get(name, self.absent.get(name))
+
+    def _leave(self, name: str) -> None:
+        number = self.numbers.pop(name, None)
+        if number is None:
+            return
+        self.absent[name] = number
+        if len(self.absent) > MOST_ABSENT:
+            oldest = next((name for name in self.absent if name not in self.barred), None)
+            self.absent.pop(oldest or name)
 
     def read(self, document: Any, known: bool = False) -> tuple[api.ServerList, dict[int, Address]]:
         """A list and the addresses in it; raises ValueError, KeyError or TypeError if it is malformed."""
@@ -44,10 +60,11 @@
         generation = int(document["generation"])
         if full:
             listed = {row["instanceId"] for row in document["instances"]}
-            self.numbers = {name: number for name, number in self.numbers.items() if name in listed}
+            for name in [name for name in self.numbers if name not in listed]:
+                self._leave(name)
         for row in document["instances"]:
             if row["lifecycle"] == "Gone":
-                self.numbers.pop(row["instanceId"], None)
+                self._leave(row["instanceId"])
         kind = api.ListKind.CACHED if known else api.ListKind.FULL if full else api.ListKind.CHANGES
         return api.ServerList(kind, tuple(entries), generation), addresses
 
@@ -56,7 +73,7 @@
         name = row["instanceId"]
         number = self.numbers.get(name)
         if number is None:
-            number = self.numbers[name] = next(self.unused)
+            number = self.numbers[name] = self.absent.pop(name, 0) or next(self.unused)
         entry = api.ServerEntry(
             server=number, zone=row["zone"], kind=row.get("machineType", ""), cell=row.get("cell", 0),
             state=STATES[row["lifecycle"]], size=row.get("weight", 1.0),
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -63,6 +63,7 @@
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
             api.SetTimer: self._set_timer, api.Log: lambda action: log.info("%s", action.text),
             api.CloseIdle: lambda action: servers.close_idle(action.server),
+            api.Bar: lambda action: servers.bar(action.server, action.barred),
         }
 
     # ---- Events in
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -118,13 +118,19 @@
 class Host:
     """A server as discovery last told it. Each change that makes old connections useless is an epoch."""
 
-    __slots__ = ("address", "started", "ready", "idle", "epoch")
+    __slots__ = ("address", "started", "listed", "barred", "idle", "epoch")
 
     def __init__(self) -> None:
         self.address: Address = ("", 0)
-        self.started, self.ready, self.epoch = 0.0, False, 0
+        self.started, self.epoch = 0.0, 0
+        self.listed = self.barred = False  # as ready by discovery, and held out by operators
         self.idle: list[Connection] = []  # the most recently used last
 
+    @property
+    def ready(self) -> bool:
+        """Whether anything may go there."""
+        return self.listed and not self.barred
+
 
 class Connection(asyncio.Protocol):
     """One connection to a server: connecting, idle, or with one attempt out."""
@@ -275,6 +281,7 @@
         self.most_connections, self.most_held = most_connections, most_held
         self.held = 0  # bytes of answers that are not whole yet
         self.hosts: dict[int, Host] = {}
+        self.barred: set[int] = set()  # also those that no list names now
         self.connections: set[Connection] = set()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
@@ -293,15 +300,28 @@
             # Guards against an old connection to a server that restarted or whose address was replaced.
             fresh = host.address == address and host.started == entry.started_ms
             host.address, host.started = address, entry.started_ms
-            host.ready = entry.state is api.ServerState.READY
+            host.listed = entry.state is api.ServerState.READY
+            host.barred = entry.server in self.barred
             if not (fresh and host.ready):
                 self._renew(host)
 
     def _remove(self, server: int) -> None:
         host = self.hosts.pop(server, None)
         if host:
-            host.ready = False
+            host.listed = False
+            self._renew(host)
+
+    def bar(self, server: int, barred: bool) -> None:
+        """Keep all that has not begun from a server, or no longer: new attempts, those still connecting."""
+        (self.barred.add if barred else self.barred.discard)(server)
+        host = self.hosts.get(server)
+        if host is None:
+            return
+        host.barred = barred
+        if barred:
             self._renew(host)
+            for connection in [c for c in self.connections if c.host is host and c.transport is None]:
+                connection.close(api.Status.CONNECT_FAILED)
 
     def _renew(self, host: Host) -> None:
         host.epoch += 1
