Close those who ask nothing or stopped within a command, before those who ask

Counted twice a second on one gateway: 96 of 108 places held by connections that had said PING and no more, each for the 2 s of an idle connection, up to 51 by commands that had stopped halfway, three requests asked in half a second. 409 lines told of clients turned away at 2 s, the time a head may take. Ruled out: memory (4 of 8192 KiB held), the pool (12, none young), servers (none full).

Where others wait for room, who has asked nothing for 0.25 s or stopped within a command for 0.7 s is closed first, the longest silent first. A command that goes on coming is let be: 2.7 s for its head, and its body as long as it comes.

--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -25,16 +25,19 @@
 MOST_IN_HAND = 256 * 1024  # bytes of one connection's commands and replies in hand; the same
 MOST_AT_ONCE = 64  # commands of one connection read before the others have their turn
 MOST_ERRORS = 16  # bad commands in a row, after which a connection is closed: no use comes of more
-COMMAND_S = 2.0  # for a first command, from connecting on, and for the rest of one that has beg; of 3 s
+COMMAND_S = 2.7  # for a first command, from connecting on, and for the rest of one that has begun; of 3 s
+BODY_S = 1.0  # between two pieces of a body, once all before it has come: that may take longer as a whole
 LINGER_S = 0.3  # a broken connection stays so long, unread, that the error is not reset away
 STALLED_S = 15.0  # a client that takes no byte of its answers for so long is gone
 FRESH_S = 0.25  # who has said nothing is let be so long, or would come back at once, again and again
+STOPPED_S = 0.7  # who has stopped within a command may be closed after that, where others wait for room
 IDLE_S = 2.0  # a connection on which no request is open may be closed after that
 AHEAD_SHARE = 0.5  # of the bytes that may be held: large values beyond are read as their clients take them
 SWEEP_S = 0.1  # between two looks at who is overdue
 BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
 ACCEPTS = 32  # connections accepted before the others have their turn
-ROOM = 8  # connections closed at once when there is no room for another
+ROOM = 16  # connections closed at once when there is no room for another
+HEAD_WORDS = 4  # of a command, before its body
 LAST_CUSTOMER = 1 << 33
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 ID = re.compile(rb"[0-9A-Za-z]{1,64}")  # of a request, and an idempotency key
@@ -217,6 +220,7 @@
 
     def __init__(self, clients: Clients, sock: socket.socket, before: Before) -> None:
         self.clients, self.socket, self.before = clients, sock, before
+        self.heard = clients.loop.time()  # when a byte came last
         self.reader = Commands()
         self.slots: deque[Slot] = deque()
         self.held = self.in_hand = 0  # bytes in all and in slots
@@ -262,6 +266,7 @@
         if self.ending:
             return
         self.reader.feed(data)
+        self.heard = self.clients.loop.time()
         self.hold(len(data), in_hand=False)
         self._read()
 
@@ -363,6 +368,11 @@
         self.unread = self.ending
         self._reply(f"-ERR {why}\r\n".encode("ascii", "replace"))
 
+    def within_body(self) -> bool:
+        """Whether all of a command has come but a body, and that is still coming."""
+        return (not self.ending and len(self.reader.words) == HEAD_WORDS and self.reader.length is not None
+                and self.clients.loop.time() - self.heard < BODY_S)
+
     def overdue(self) -> None:
         """A command that was owed has not come, or an end has taken too long.
 
@@ -511,8 +521,10 @@
         self.held = 0  # bytes of commands and replies
         self.connections: OrderedDict[Client, None] = OrderedDict()
         self.owing: OrderedDict[Client, float] = OrderedDict()  # a command or an end, since when
+        self.bodies: dict[Client, None] = {}  # overdue but for a body that is still coming
         self.idle: OrderedDict[Client, float] = OrderedDict()  # with nothing in hand, and since when
         self.once: OrderedDict[Client, float] = OrderedDict()  # the same, of those who have asked once
+        self.never: OrderedDict[Client, float] = OrderedDict()  # the same, of those who said something else
         self.places = 0  # descriptors taken: counted from accepting until the loop has closed them
         self.loop = asyncio.get_running_loop()
         self.ready = self.leaving = self.accepting = False
@@ -596,15 +608,21 @@
             self._place_free()
 
     def _make_room(self) -> None:
-        """Close who is leaving, who has said nothing yet, and who is idle, the longest first.
+        """Close who is leaving, who has asked nothing, who stopped within a command, and who is idle.
 
-        Those who have asked once go before those who come again. Guards against clients that keep a
-        connection for good and so make the usual ones open theirs anew. Never one within a command or with a
-        request in hand.
+        The longest first. Guards against crowds that ask nothing, whether they are silent, have said a part
+        of a command or something else, which would keep those out who ask; a command that goes on coming,
+        however slowly, is let be, and so is who has a request in hand. Those who have asked once go before
+        those who come again. Guards against clients that keep a connection for good and so make the usual
+        ones open theirs anew.
         """
         now, room = self.loop.time(), ROOM
-        for client, since in list(islice(self.owing.items(), 4 * ROOM)):
-            if client.ending or (since < now - FRESH_S and not client.spoke and not client.held):
+        useless = sorted(
+            (client for client in (*self.owing, *self.never) if client.ending or not client.slots and (
+                client.heard < now - (STOPPED_S if client.reader.buffer else FRESH_S))),
+            key=lambda client: client.heard)
+        for client in useless[:2 * ROOM]:
+            if room > 0:
                 room -= client.drop()
         for idle in (self.once, self.idle):
             for client, since in list(islice(idle.items(), max(0, room))):
@@ -629,6 +647,7 @@
         """A connection has ended, and its descriptor is free."""
         self.connections.pop(client, None)
         self.owing.pop(client, None)
+        self.bodies.pop(client, None)
         self._stirs(client)
         self.held -= client.held
         self._place_free()
@@ -637,9 +656,11 @@
         """Note what a connection is at: within a command, at its end, idle, or with requests in hand."""
         if took:
             self.owing.pop(client, None)
+            self.bodies.pop(client, None)
         if within or client.ending:
             self._stirs(client)
-            self.owing.setdefault(client, self.loop.time())
+            if client not in self.bodies:
+                self.owing.setdefault(client, self.loop.time())
         elif client.spoke:
             self.owing.pop(client, None)
             if client.slots:
@@ -651,11 +672,12 @@
         """All that came on a connection has been answered."""
         if client.spoke and client not in self.owing:
             self._stirs(client)
-            (self.once if client.asked == 1 else self.idle)[client] = self.loop.time()
+            which = self.idle if client.asked > 1 else self.once if client.asked else self.never
+            which[client] = self.loop.time()
 
     def _stirs(self, client: Client) -> None:
-        self.idle.pop(client, None)
-        self.once.pop(client, None)
+        for rest in (self.idle, self.once, self.never):
+            rest.pop(client, None)
 
     def _sweep(self) -> None:
         before = self.loop.time() - COMMAND_S
@@ -664,6 +686,9 @@
             if since > before:
                 break
             del self.owing[client]
+            self.bodies[client] = None
+        for client in [client for client in self.bodies if not client.within_body()]:
+            del self.bodies[client]
             client.overdue()
         if self._room() > 0:
             self._accept_more()
--- /dev/null
+++ b/tests/test_crowds.py
@@ -0,0 +1,76 @@
+"""Crowds of connections that ask nothing, and those that ask slowly among them."""
+
+import asyncio
+
+import pytest
+from fakes import FakeServer, array, call, node, resp, run
+
+from brackenloft.net import clients as module
+
+PLACES = 8
+
+
+async def crowd(gateway, said: bytes) -> list:
+    """Three times as many connections as there are places, each of which has said this and no more."""
+    peers = []
+    for _ in range(3 * PLACES):
+        peers.append(await gateway.peer())
+        peers[-1].send(said)
+        await asyncio.sleep(0)
+    return peers
+
+
+@pytest.mark.parametrize("said", [b"", resp("PING"), call(1)[:50], resp("NONSENSE")])
+def test_crowd_that_asks_nothing_keeps_nobody_out(said, monkeypatch):
+    monkeypatch.setattr(module, "COMMAND_S", 50.0)  # nobody's time is up
+    monkeypatch.setattr(module, "IDLE_S", 50.0)
+
+    async def test():
+        async with node(FakeServer(), most_connections=PLACES) as gateway:
+            peers = await crowd(gateway, said)
+            for number in range(10, 14):
+                peer = await gateway.peer()
+                assert await peer.ask(call(number)) == b"%016x" % number
+            assert gateway.clients.places <= PLACES
+            del peers
+
+    run(test())
+
+
+def test_command_that_comes_slowly_is_let_be_among_a_crowd(monkeypatch):
+    monkeypatch.setattr(module, "COMMAND_S", 50.0)
+    monkeypatch.setattr(module, "IDLE_S", 50.0)
+
+    async def test():
+        async with node(FakeServer(), most_connections=PLACES) as gateway:
+            slow, command = await gateway.peer(), call(7)
+            peers = []
+            for at in range(0, len(command), 4):
+                slow.send(command[at:at + 4])
+                peers.append(await gateway.peer())
+                peers[-1].send(call(1)[:50])
+                await asyncio.sleep(module.STOPPED_S / 8.0)
+            assert await slow.reply() == b"0000000000000007"
+            assert len(peers) > 2 * PLACES
+
+    run(test())
+
+
+def test_body_may_take_longer_than_a_head_as_long_as_it_comes(monkeypatch):
+    monkeypatch.setattr(module, "COMMAND_S", 0.3)
+    monkeypatch.setattr(module, "BODY_S", 2.0)
+
+    async def test():
+        server = FakeServer(lambda words: array(words[4]))
+        async with node(server) as gateway:
+            peer, body = await gateway.peer(), b"x" * 3000
+            command = call(1, "post", body=body)
+            for at in range(0, len(command), 200):
+                peer.send(command[at:at + 200])
+                await asyncio.sleep(0.05)
+            assert await peer.reply() == body
+            stopped = await gateway.peer()
+            stopped.send(command[:1000])
+            assert await stopped.reply() == "-ERR timeout" and await stopped.reply() is None
+
+    run(test())
