Give cold servers that answer quickly their part by the capacity that is ready

The cold ones' turns came to a fifth of the requests; their capacity is two fifths of what was ready. Ruled out: the upgrade and the calls (none late, nothing turned back), the quotas.

A cold server that has answered some from here as quickly as others do, with one attempt out at most, now has its part by capacity; one slow answer ends that. Without such answers the share of before holds.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -97,6 +97,10 @@
 # Cold servers
 COLD_SAFETY = 0.33  # of the tipping budget that a full fleet's even share may use: chance and heavy requests
 
+EASE = 1.25  # relative latency up to which a cold server is at ease
+EASE_ANSWERS = 3  # good answers from here before that is believed
+EASE_OUT = 1  # attempts out from here beside the next one
+
 # Attempts
 RETRY_SHARE = 0.2  # further attempts per first one, over time: bounds what failures can add to the load
 RETRY_STORE = 10.0  # further attempts saved up at most
@@ -151,7 +155,7 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("id", "zone", "cell", "ready", "listed", "started", "out", "ratio", "ratio_at",
-                 "queue", "queue_at", "marks", "phase")
+                 "queue", "queue_at", "marks", "phase", "answered")
 
     def __init__(self, entry: ServerEntry, phase: float) -> None:
         self.phase = phase
@@ -164,6 +168,7 @@
         """Forget what a process that is gone has shown."""
         self.ratio, self.ratio_at, self.queue, self.queue_at = 1.0, NEVER, 0.0, NEVER
         self.marks: dict[str, Mark] = {}
+        self.answered = 0  # attempts from here with a good answer
 
     def update(self, entry: ServerEntry) -> None:
         """Take over what discovery says."""
@@ -596,6 +601,7 @@
         ratio = 1.0 + (server.ratio - 1.0) * self._fade(server.ratio_at)
         server.ratio = ratio + SERVER_STEP * (latency / mean - ratio)
         server.ratio_at = (self.now, self.sends)
+        server.answered += 1
 
     def _report(self, server: Server, load: tuple[float, ...] | None) -> None:
         if load:
@@ -612,6 +618,16 @@
             return 1.0
         return rules.cold_share + (1.0 - rules.cold_share) * max(0.0, age) / rules.warm_up_ms
 
+    def _at_ease(self, server: Server) -> bool:
+        """Whether a cold server has answered some from here as quickly as others, with next to none out now.
+
+        It may have its part by the capacity of all that are ready then. Guards against sending nearly all to
+        the few warm ones after a release, while those that came back stand idle. One that is sent more than
+        it can do shows it in its first slow answer, and in what is out, long before it is pushed over.
+        """
+        quick = 1.0 + (server.ratio - 1.0) * self._fade(server.ratio_at) <= EASE
+        return server.answered >= EASE_ANSWERS and quick and len(server.out) <= EASE_OUT
+
     def _cold_turn(self, flight: Flight, server: Server) -> bool:
         """Whether this request may go to a cold server: only in its turn, drawn once for each request.
 
@@ -622,6 +638,8 @@
         """
         warmth = self._warmth(server)
         share = min(1.0, COLD_SAFETY * self.settings.contract.tip_multiple) * warmth / len(self.ready)
+        if warmth < 1.0 and self._at_ease(server):
+            share = max(share, warmth / sum(self._warmth(other) for other in self.ready))
         return warmth >= 1.0 or (flight.turn + server.phase) % 1.0 < share
 
     # ---- Attempts
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,9 +3,10 @@
 from dataclasses import replace
 
 import pytest
-from conftest import CLASSES, DEAR, SETTINGS, Rig, entry, rig_with
+from conftest import CLASSES, DEAR, PLANS, SETTINGS, Rig, entry, rig_with
 
-from brackenloft import Limits, ListKind, Log, ServerState, Status
+from brackenloft import Contract, Limits, ListKind, Log, Request, ServerState, Status
+from brackenloft.logic import Customer, Flight
 
 RAN_NOT = [Status.FULL, Status.CONNECT_FAILED]
 MAY_HAVE_RUN = [Status.ERROR, Status.TIMEOUT, Status.RESET]
@@ -471,3 +472,20 @@
     name = rig.ask()
     rig.finish(name, Status.FULL)  # without an error before it, others may have room
     assert name not in rig.answers and len(rig.sent[name]) == 2
+
+
+def test_cold_server_that_answers_quickly_has_its_part_and_a_slow_or_busy_one_little():
+    rig = rig_with(contract=Contract(8.0, 500.0, 0.2, 1e9, 3.0, 2000.0, 10_000.0))  # warm in eleven days
+    rig.servers(entry(1), *(entry(number, started_ms=rig.now) for number in (2, 3, 4, 5)))
+    servers = rig.gateway.servers
+    for server in (servers[2], servers[3], servers[4]):
+        server.answered = 3
+    servers[3].ratio, servers[3].ratio_at = 3.0, (rig.now, 0)
+    servers[4].out = {("other", 0), ("another", 0)}  # server 5 has not answered yet
+    flights = [Flight(Request(f"r{n}", "safe", "free", "c", 1000.0), CLASSES[0], PLANS[3],
+                      Customer(rig.now, 0.0), rig.now, n / 1000.0) for n in range(1000)]
+    turns = {number: sum(rig.gateway._cold_turn(flight, servers[number]) for flight in flights)
+             for number in (1, 2, 3, 4, 5)}
+    assert turns[1] == 1000
+    assert 105 <= turns[2] <= 115  # 0.2 of 1.8 that are ready in all
+    assert all(35 <= turns[number] <= 45 for number in (3, 4, 5))  # 0.99 of 0.2 of a fifth
