--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -79,7 +79,7 @@
             api.SetTimer: self._set_timer, api.Log: lambda action: log.info("%s", action.text),
             api.CloseIdle: lambda action: servers.close_idle(action.server),
             api.Bar: lambda action: servers.bar(action.server, action.barred),
-            api.Subscribe: lambda action: None,  # where discovery has to be asked, the watch, always open, asks
+            api.Subscribe: lambda action: None,  # the watch, always open, asks
             api.Estate: lambda action: setattr(self, "estate", action.state),
             api.TellOther: lambda action: self.tell_other(action.news),
         }
