Lay turns of cold servers end to end, and judge one not met by all cold ones together

Two causes, both harmless in a small fleet. A server gets its part by capacity only after three quick answers from here: with 40 gateways and 36 cold servers none gives a gateway three before it is warm. And turns were drawn for each server by itself (phases of _cold_turn), so that they overlapped, and a third of the requests that some cold server should have taken found none.

The cap on a share that others' answers lift stays within the tipping budget: load of 1.7 times the even share at full warmth, against a multiple of 2.5.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -96,7 +96,8 @@
 
 # Cold servers
 COLD_SAFETY = 0.33  # of the tipping budget that a full fleet's even share may use: chance and heavy requests
-
+COLD_RISE = 0.6  # of the tipping budget and the warmth, by which that may be more once others have told
+LEAST_THAW = 0.5  # how quick cold servers together are taken to be at most
 EASE = 1.25  # relative latency up to which a cold server is at ease
 EASE_ANSWERS = 3  # good answers from here before that is believed
 EASE_OUT = 1  # attempts out from here beside the next one
@@ -155,10 +156,9 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("id", "zone", "cell", "ready", "listed", "started", "out", "ratio", "ratio_at",
-                 "queue", "queue_at", "marks", "phase", "answered")
+                 "queue", "queue_at", "marks", "answered")
 
-    def __init__(self, entry: ServerEntry, phase: float) -> None:
-        self.phase = phase
+    def __init__(self, entry: ServerEntry) -> None:
         self.id = entry.server
         self.out: set[tuple[str, int]] = set()  # attempts out
         self.reset()
@@ -224,6 +224,7 @@
         self.sends = 0
         self.ready: list[Server] = []
         self.cold: list[Server] = []
+        self.thaw, self.thawed = 1.0, 0  # relative latency of all cold servers together, and good answers
         self.paired = False  # whether another process of this gateway has to hear of what is out
         self.barred: dict[int, float] = {}  # servers that operators took out, and since when
         self.attached: dict[int, tuple[float, float]] = {}  # and let in again: since when out, and until when
@@ -485,7 +486,8 @@
         if len(few) > 2 * SAMPLE:
             quick = [s for s in self.quick[flight.kind.name].values() if not flight.sends or s in few]
             few = self.random.sample(few, SAMPLE) + quick + (self.cold if not flight.sends else [])
-        few = [s for s in few if s.ready and self._cold_turn(flight, s)]
+        turn = self._in_turn(flight) if self.cold else None
+        few = [s for s in few if s.ready and (s is turn or self._warmth(s) >= 1.0)]
         return min(few, key=lambda server: self._cost(flight, server), default=None)
 
     def _in_group(self, flight: Flight, server: Server) -> bool:
@@ -602,6 +604,9 @@
         server.ratio = ratio + SERVER_STEP * (latency / mean - ratio)
         server.ratio_at = (self.now, self.sends)
         server.answered += 1
+        if self._warmth(server) < 1.0:
+            self.thawed += 1
+            self.thaw += SERVER_STEP * (latency / mean - self.thaw)
 
     def _report(self, server: Server, load: tuple[float, ...] | None) -> None:
         if load:
@@ -628,19 +633,40 @@
         quick = 1.0 + (server.ratio - 1.0) * self._fade(server.ratio_at) <= EASE
         return server.answered >= EASE_ANSWERS and quick and len(server.out) <= EASE_OUT
 
-    def _cold_turn(self, flight: Flight, server: Server) -> bool:
-        """Whether this request may go to a cold server: only in its turn, drawn once for each request.
+    def _cold_share(self, server: Server, warmth: float, capacity: float) -> float:
+        """The share of all requests that a cold server may get: its part by the capacity that is ready.
 
-        Guards against pushing a cold server over: of all requests at all gateways it is open to its even
-        share times its least warmth at most, however good it looks, however often a request asks again,
-        whatever the number of gateways. It also spreads the burst after a list change. Harm: where most
+        Less until answers bear that out: its own, or where it has not given enough of them from here, those
+        of all cold servers together. Guards against each gateway of many finding out for itself, by which
+        time the few warm ones are overrun while the others idle. Where others have told, its part may be
+        larger than by the least warmth, as they answer faster, but stays within the tipping budget.
+        """
+        tip, even = self.settings.contract.tip_multiple, warmth / len(self.ready)
+        share = min(1.0, COLD_SAFETY * tip) * even
+        if self._at_ease(server):
+            return max(share, warmth / capacity)
+        if self.thawed >= EASE_ANSWERS and self.thaw <= EASE and len(server.out) <= EASE_OUT:
+            most = (COLD_SAFETY + COLD_RISE * warmth) * tip * even
+            return max(share, min(most, warmth / capacity / max(LEAST_THAW, self.thaw)))
+        return share
+
+    def _in_turn(self, flight: Flight) -> Server | None:
+        """The cold server that this request may go to, if any: its turn is drawn once for each request.
+
+        Guards against pushing a cold server over: of all requests at all gateways it is open to its share
+        at most, however good it looks, however often a request asks again, whatever the number of gateways.
+        It also spreads the burst after a list change. The turns lie end to end: left to chance, they would
+        overlap, and a third of the requests find none where nearly all servers are cold. Harm: where most
         servers are cold at once, requests wait or are refused though the multiple would allow more.
         """
-        warmth = self._warmth(server)
-        share = min(1.0, COLD_SAFETY * self.settings.contract.tip_multiple) * warmth / len(self.ready)
-        if warmth < 1.0 and self._at_ease(server):
-            share = max(share, warmth / sum(self._warmth(other) for other in self.ready))
-        return warmth >= 1.0 or (flight.turn + server.phase) % 1.0 < share
+        capacity, end = sum(self._warmth(server) for server in self.ready), 0.0
+        for server in self.cold:
+            warmth = self._warmth(server)
+            if server.ready and warmth < 1.0:
+                end += self._cold_share(server, warmth, capacity)
+                if flight.turn < end:
+                    return server
+        return None
 
     # ---- Attempts
 
@@ -805,7 +831,7 @@
             self._remove([entry.server])
             return
         if server is None:
-            server = self.servers[entry.server] = Server(entry, self.random.random())
+            server = self.servers[entry.server] = Server(entry)
         elif entry.started_ms > server.started:
             server.reset()
         server.update(entry)
