Send an attempt after one that found no server without charging the retry budget

What ended the requests was the budget (_may_resend): ten attempts saved up are spent at once on servers that are gone. The budget bounds the load that failures add; an attempt that met nobody adds none.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -670,12 +670,12 @@
 
     # ---- Attempts
 
-    def _send(self, flight: Flight, server: Server) -> None:
+    def _send(self, flight: Flight, server: Server, free: bool = False) -> None:
         request, number = flight.request, flight.sends
         if number == 0:
             self._draw_ceiling(flight)
             self.retries = min(RETRY_STORE, self.retries + RETRY_SHARE)
-        else:
+        elif not free:
             self.retries -= 1.0
         flight.sends += 1
         flight.tried.add(server.id)
@@ -688,8 +688,14 @@
         self.actions.append(Send(request.request_id, server.id))
         self._arm(SLOW * flight.kind.aim_ms + self._extra(flight), self._on_slow, (flight, number), flight)
 
-    def _may_resend(self, flight: Flight) -> bool:
-        return flight.sends < self.settings.limits.max_attempts and self.retries >= 1.0
+    def _may_resend(self, flight: Flight, unmet: bool = False) -> bool:
+        """Whether another attempt is left, and the budget holds it.
+
+        One after an attempt that found no server is free: nobody has had any work of it. Guards against a
+        gateway that starts with an old list and gives up requests once its budget went on servers that are
+        gone, though others stand ready.
+        """
+        return flight.sends < self.settings.limits.max_attempts and (unmet or self.retries >= 1.0)
 
     def _on_outcome(self, event: Outcome) -> None:
         flight = self.flights.get(event.request_id)
@@ -734,10 +740,11 @@
         if over:
             self._answer(flight)
             return
-        if status is not Status.NOT_SENT and self.now < flight.deadline and self._may_resend(flight):
+        unmet = status is Status.CONNECT_FAILED
+        if status is not Status.NOT_SENT and self.now < flight.deadline and self._may_resend(flight, unmet):
             server = self._choose(flight)
             if server:
-                self._send(flight, server)
+                self._send(flight, server, unmet)
                 return
         self._answer(flight)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -343,6 +343,21 @@
 
 # Beyond the rules: servers that fail a part of what they get
 
+def test_an_attempt_after_one_that_found_no_server_is_free_and_one_that_was_turned_away_is_not():
+    rig = rig_with(limits=Limits(max_attempts=5, can_cancel=True))
+    rig.servers(*(entry(n) for n in range(60)))
+    for _ in range(40):  # as after a start with an old list on which most servers are gone
+        name = rig.ask()
+        for _ in range(4):
+            rig.finish(name, Status.CONNECT_FAILED)
+        assert name not in rig.answers and len(rig.sent[name]) == 5
+        rig.finish(name)
+    names = [rig.ask(class_name="unsafe") for _ in range(3)]
+    rig.gateway.retries = 1.0
+    for name in names:
+        rig.finish(name, Status.FULL)
+    assert sum(len(rig.sent[name]) for name in names) == 4
+
 def fleet(size: int = 4) -> Rig:
     rig = Rig()
     rig.servers(*(entry(n) for n in range(size)))
