Ask a discovery that turns calls away after longer waits, drawn from the seed

The waits in Feed._run doubled to one second and had no part of chance.

They double to four seconds now, half of it drawn, well within the ten seconds in which a gateway must ask. The known list serves meanwhile, as before.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -140,7 +140,8 @@
         if listing.kind is not api.ListKind.CACHED:
             clients.ready = True
 
-    discovery, handover = Discovery(news), Handover(place(config.listen), driver, clients, servers)
+    discovery = Discovery(news, config.seed)
+    handover = Handover(place(config.listen), driver, clients, servers)
     bans = Bans(discovery.roster, driver, handover)
     handover.leave_roster, handover.on_ban = discovery.roster.leave, bans.carry_out
     estate = await ask(handover.path)
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 from itertools import count
 from typing import Any, cast
@@ -17,7 +18,8 @@
 log = logging.getLogger(__name__)
 
 SILENT_S = 4.5  # an empty line comes every 2 s: two are missing. News counts as told after 6 s in any case
-BACKOFF_S = (0.05, 1.0)  # before another watch, first and at most
+BACKOFF_S = (0.05, 4.0)  # before another watch, first and at most: well within the time it must be asked in
+JITTER = 0.5  # share of that which is drawn at random
 CONNECT_S = 1.0
 LONGEST_LINE = 4 * 1024 * 1024
 MOST_ABSENT = 256  # servers that a list named before, whose numbers are remembered
@@ -216,8 +218,17 @@
                 await self.watch.done
             except (OSError, TimeoutError) as error:
                 log.warning("discovery can't be reached: %r", error)
-            await asyncio.sleep(self.backoff_s)
-            self.backoff_s = min(BACKOFF_S[1], self.backoff_s * 2.0)
+            await asyncio.sleep(self._wait())
+
+    def _wait(self) -> float:
+        """Seconds before another watch: longer each time, and drawn, until a line has been read.
+
+        Guards against a discovery that has more calls than it can answer: gateways that ask again in step,
+        and as fast as it turns them away, keep it that way, and none learns anything.
+        """
+        wait = self.backoff_s * (1.0 - JITTER * self.discovery.random.random())
+        self.backoff_s = min(BACKOFF_S[1], self.backoff_s * 2.0)
+        return wait
 
     def _new_watch(self) -> Watch:
         generation = self.generation
@@ -227,8 +238,8 @@
 class Discovery:
     """What discovery says, from the address that was named last and has spoken."""
 
-    def __init__(self, news: News) -> None:
-        self.news, self.roster = news, Roster()
+    def __init__(self, news: News, seed: int) -> None:
+        self.news, self.roster, self.random = news, Roster(), random.Random(seed)
         self.feed: Feed | None = None
         self.next: Feed | None = None  # named last, has not spoken yet
 
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -8,14 +8,14 @@
 
 from brackenloft import ListKind, ServerState
 from brackenloft.net import discovery as module
-from brackenloft.net.discovery import Discovery
+from brackenloft.net.discovery import Discovery, Feed
 
 
 @asynccontextmanager
 async def watched():
     """A running watch, the fake it watches, and the news that came of it."""
     fake, news = await FakeDiscovery().start(), asyncio.Queue()
-    discovery = Discovery(lambda *told: news.put_nowait(told))
+    discovery = Discovery(lambda *told: news.put_nowait(told), seed=1)
     discovery.watch(("127.0.0.1", fake.port))
     try:
         yield discovery, fake, news
@@ -108,7 +108,7 @@
             writer.write(answer)
 
         server = await asyncio.start_server(odd, "127.0.0.1", 0)
-        discovery = Discovery(lambda *told: None)
+        discovery = Discovery(lambda *told: None, seed=1)
         discovery.watch(server.sockets[0].getsockname())
         for _ in range(3):
             await asked.get()
@@ -118,6 +118,21 @@
     run(test())
 
 
+def test_gateways_that_are_turned_away_ask_again_later_each_time_and_not_in_step():
+    async def test():
+        feeds = [Feed(Discovery(lambda *told: None, seed), ("127.0.0.1", 9)) for seed in range(40)]
+        for feed in feeds:
+            feed.end()
+        waits = [[feed._wait() for _ in range(12)] for feed in feeds]
+        assert all(0.5 * module.BACKOFF_S[0] <= first[0] <= module.BACKOFF_S[0] for first in waits)
+        # once each has been turned away often, forty gateways ask ten to twenty times a second at most
+        assert 10.0 <= sum(1.0 / last[-1] for last in waits) <= 20.0
+        assert max(last[-1] for last in waits) <= 4.0  # and each well within the ten seconds it has
+        assert len({round(sum(row), 2) for row in waits}) > 30
+
+    run(test())
+
+
 def test_server_that_is_gone_is_forgotten_by_name():
     roster = module.Roster()
     roster.read({"generation": 1, "reset": True, "instances": [row("s-1", 1), row("s-2", 2)]})
