Start without the hand-over where Unix sockets are refused, and without a warning

ask() made its socket before the try that takes refusals: where such sockets are refused, OSError ended the start, and the descriptor of the folder stayed open. That nobody can come is no fault of the gateway and is logged as information, not as a warning. Where they are allowed, upgrades go as before.

--- a/brackenloft/net/handover.py
+++ b/brackenloft/net/handover.py
@@ -206,14 +206,16 @@
         name, folder = _short(path)
     except OSError:
         return None
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    sock.setblocking(False)
+    sock = None
     try:
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        sock.setblocking(False)
         sock.connect(name)
-    except OSError as error:
+    except OSError as error:  # some places refuse such sockets altogether
         if not isinstance(error, FileNotFoundError):
             log.info("no process to take over from: %r", error)
-        sock.close()
+        if sock:
+            sock.close()
         return None
     finally:
         os.close(folder)
@@ -365,7 +367,7 @@
             finally:
                 os.close(folder)
         except OSError as error:
-            log.warning("no new version can take over: %r", error)
+            log.info("no new version can take over: %r", error)
             return
         self.listener = listener
         self.loop.add_reader(listener, self._met)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -1,6 +1,7 @@
 """A new version beside the running one, as processes and on real sockets."""
 
 import asyncio
+import errno
 import json
 import os
 import shutil
@@ -17,6 +18,7 @@
 from test_operators import http, post
 
 from brackenloft import Alone, Attach, Bequeath, Detach, Elsewhere, Estate, Inherit, TellOther
+from brackenloft.net import handover
 from brackenloft.net.handover import ask, place
 
 
@@ -367,3 +369,26 @@
             assert await peer.ask(call(1)) == b"0000000000000001"
 
     run(test())
+
+
+def test_where_unix_sockets_are_refused_a_start_goes_on_without(tmp_path, monkeypatch, caplog):
+    real = socket.socket
+
+    def refusing(family=socket.AF_INET, *rest, **more):
+        if family == socket.AF_UNIX:
+            raise OSError(errno.EAFNOSUPPORT, "refused")
+        return real(family, *rest, **more)
+
+    async def test():
+        async with node() as gateway:
+            open_before = len(os.listdir("/proc/self/fd"))
+            with monkeypatch.context() as patch:
+                patch.setattr(handover.socket, "socket", refusing)
+                assert await ask(tmp_path / "handover") is None
+                gateway.handover.path = tmp_path / "handover"
+                gateway.handover.wait()
+            assert gateway.handover.listener is None and not list(tmp_path.iterdir())
+            assert len(os.listdir("/proc/self/fd")) == open_before
+
+    run(test())
+    assert not [record for record in caplog.records if record.levelname != "INFO"]
