Serve by the known list as soon as discovery turns the first call away

A watch that ends before it has said anything now tells so (Discovery.on_unheard), and a gateway that knows a list serves by it. A discovery that stays silent is still waited for, for a second.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -141,6 +141,8 @@
             clients.ready = True
 
     discovery = Discovery(news, config.seed)
+    # with a list that is known, one who is turned away serves by it at once
+    discovery.on_unheard = lambda: setattr(clients, "ready", clients.ready or bool(discovery.roster.rows))
     handover = Handover(place(config.listen), driver, clients, servers)
     bans = Bans(discovery.roster, driver, handover)
     handover.leave_roster, handover.on_ban = discovery.roster.leave, bans.carry_out
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -183,7 +183,7 @@
         self.discovery, self.address = discovery, address
         self.backoff_s = BACKOFF_S[0]
         self.generation: int | None = None  # nothing: the whole list is asked for
-        self.ended = False
+        self.ended = self.spoken = False
         self.watch: Watch | None = None
         self.task = asyncio.get_running_loop().create_task(self._run())
 
@@ -199,7 +199,7 @@
             watch.close("malformed line")
             return
         self.backoff_s = BACKOFF_S[0]
-        self.generation = listing.version
+        self.generation, self.spoken = listing.version, True
         self.discovery.spoke(self, listing, addresses)
 
     def end(self) -> None:
@@ -218,6 +218,8 @@
                 await self.watch.done
             except (OSError, TimeoutError) as error:
                 log.warning("discovery can't be reached: %r", error)
+            if not self.spoken:
+                self.discovery.on_unheard()
             await asyncio.sleep(self._wait())
 
     def _wait(self) -> float:
@@ -240,6 +242,7 @@
 
     def __init__(self, news: News, seed: int) -> None:
         self.news, self.roster, self.random = news, Roster(), random.Random(seed)
+        self.on_unheard: Callable[[], None] = lambda: None  # a watch ended before it had said anything
         self.feed: Feed | None = None
         self.next: Feed | None = None  # named last, has not spoken yet
 
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -118,6 +118,36 @@
     run(test())
 
 
+def test_being_turned_away_is_told_until_a_list_has_come():
+    async def test():
+        asked, unheard = 0, asyncio.Queue()
+
+        async def overbooked_at_first(reader, writer):
+            nonlocal asked
+            asked += 1
+            await reader.readuntil(b"\r\n\r\n")
+            if asked < 3:
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+            else:
+                body = listing(1, row("s-1", 1), reset=True) + b"\n"
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+        server = await asyncio.start_server(overbooked_at_first, "127.0.0.1", 0)
+        news: asyncio.Queue[object] = asyncio.Queue()
+        discovery = Discovery(lambda *told: news.put_nowait(told), seed=1)
+        discovery.on_unheard = lambda: unheard.put_nowait(asked)
+        discovery.watch(server.sockets[0].getsockname())
+        assert [await unheard.get(), await unheard.get()] == [1, 2] and news.empty()
+        await news.get()
+        while asked < 4:  # it asks on after that watch has ended
+            await asyncio.sleep(0.01)
+        assert unheard.empty()
+        discovery.end()
+        server.close()
+
+    run(test())
+
+
 def test_gateways_that_are_turned_away_ask_again_later_each_time_and_not_in_step():
     async def test():
         feeds = [Feed(Discovery(lambda *told: None, seed), ("127.0.0.1", 9)) for seed in range(40)]
