--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -66,7 +66,7 @@
 CROWD_PERIODS = 1.0  # the same after a request found this gateway's place taken, which may be chance
 BUSY = 4  # gateways by which most of a customer's requests come at a time: a wider set has idle ones
 CROWD_MS = 2000.0  # time constant with which a customer's tries here fade: the lateness of a reading
-CROWD_ROOM = 1.5  # such tries that the whole of a cap's room allows
+CROWD_ROOM = 0.75  # such tries that the whole of a cap's room allows
 FIRST_ROOM = 0.3  # of a cap: the room taken for a customer of whom nothing has been read yet
 NEWS_PERIODS = 4.0  # meter periods a reading stays news: the period, its lateness, a gap in traffic
 
