Bound what goes by between two calls to discovery by one deadline, from call to call

Term: a change counts as told 6 s after discovery had it and could be reached, whatever is allowed after a failed, refused or given-up call. Each path was right by itself; the chains were not.

The wait of up to 4 s after a refusal came on top of what the refused call had taken, connecting and 2.4 s of silence (_wait); and a connection had 1.0 s to come up, so that one that takes longer never did, over and over (CONNECT_S). Now a wait is at most what is left of 4.2 s since the call began, and connecting may take 1.6 s. A watch that falls silent is ended after 4.2 s in place of 4.5, as 4.5 and a late connection are over 6; what came while the process was busy is read first, so that one late line is no silence. Worst chains by construction, with X for the next connection to come up (1.5 s): any call without news 4.2 + X = 5.7; a watch that fell silent 4.25 + X = 5.75; moved by SIGHUP X, as the new address is called at once, and 4.2 + X where it was down. A watch that came up just as its time was over went on beside the next one; it is closed, and only the last one opened is listened to.

--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -20,14 +20,17 @@
 
 log = logging.getLogger(__name__)
 
-SILENT_S = 4.5  # an empty line comes every 2 s: two are missing. News counts as told after 6 s in any case
+CONNECT_S = 1.6  # for a connection to come up: some do after a second and a half
+AGAIN_S = 4.2  # from the begin of a call without news to that of the next, at most: what discovery has, once
+# it is back, counts as told 6 s later, and the next call may be as long in coming up
+SILENT_S = 4.2  # an empty line comes every 2 s: two are missing; for the same reason no longer
+LATE_S = 0.1  # of that, to read what came while this process was busy
 FIRST_S = 2.5  # for the first line of a watch, which comes at once or when it is its turn: where a second
 # watch in a row is silent, a third one is opened before sends to what drains must have ended
-BACKOFF_S = (0.05, 4.0)  # before another watch, first and at most: well within the time it must be asked in
+BACKOFF_S = (0.05, 4.0)  # before another watch, first and at most
 AGENT_S = 1.0  # the most where none was turned away: the agent is on this machine, asking it costs nobody,
 # and what it gets when discovery is back counts as told at once
 JITTER = 0.5  # share of that which is drawn at random
-CONNECT_S = 1.0
 LONGEST_LINE = 4 * 1024 * 1024
 MOST_ABSENT = 256  # servers that a list named before, whose numbers are remembered
 STATES = {
@@ -195,6 +198,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
         self.transport = cast(asyncio.Transport, transport)
+        if self.ended:
+            self.transport.abort()
+            return
         host, port = self.feed.address
         self.transport.write(
             f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\nAccept: application/json\r\n\r\n".encode())
@@ -207,8 +213,11 @@
         """
         if self.silent:
             self.silent.cancel()
-        loop = asyncio.get_running_loop()
-        self.silent = loop.call_later(for_s, self.close, "silent")
+        self.silent = asyncio.get_running_loop().call_later(for_s - LATE_S, self._perhaps_silent)
+
+    def _perhaps_silent(self) -> None:
+        """Guards against timers that fall due before what has come meanwhile is read, in a busy process."""
+        self.silent = asyncio.get_running_loop().call_later(LATE_S, self.close, "silent")
 
     def close(self, why: str) -> None:
         """End the exchange; what still comes on it counts no more."""
@@ -274,7 +283,7 @@
 
     def take(self, document: Any, watch: Watch) -> bool:
         """One list of the watch; whether the watch goes on. Of a malformed one see below."""
-        if self.ended:
+        if self.ended or watch is not self.watch:
             return False
         try:
             listing, addresses = self.discovery.roster.read(document)
@@ -302,31 +311,36 @@
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            self.turned_away = False
+            self.turned_away, begun = False, loop.time()
             try:
                 async with asyncio.timeout(CONNECT_S):
-                    _, self.watch = await loop.create_connection(self._new_watch, *self.address)
-                await self.watch.done
+                    _, watch = await loop.create_connection(self._new_watch, *self.address)
+                await watch.done
             except (OSError, TimeoutError) as error:
                 log.warning("discovery can't be reached: %r", error)
+                if self.watch:  # the call before, or one that came up just as its time was over
+                    self.watch.close("another is opened")
             if not self.spoken:
                 self.discovery.on_unheard()
-            await asyncio.sleep(self._wait())
+            await asyncio.sleep(self._wait(loop.time() - begun))
 
-    def _wait(self) -> float:
+    def _wait(self, spent_s: float = 0.0) -> float:
         """Seconds before another watch: longer each time, and drawn, until a line has been read.
 
         Guards against a discovery that has more calls than it can answer: gateways that ask again in step,
-        and as fast as it turns them away, keep it that way, and none learns anything.
+        and as fast as it turns them away, keep it that way, and none learns anything. What the call before
+        has taken counts: guards against a wait that comes on top of one that was long in coming up, or was
+        turned away late, by which time all that changed has counted as told.
         """
-        most = BACKOFF_S[1] if self.turned_away else AGENT_S
+        most = min(BACKOFF_S[1] if self.turned_away else AGENT_S, max(BACKOFF_S[0], AGAIN_S - spent_s))
         wait = min(most, self.backoff_s) * (1.0 - JITTER * self.discovery.random.random())
         self.backoff_s = min(BACKOFF_S[1], self.backoff_s * 2.0)
         return wait
 
     def _new_watch(self) -> Watch:
-        generation = self.generation
-        return Watch(self, "/discovery/hosts?watch=1" + ("" if generation is None else f"&from={generation}"))
+        from_then = "" if self.generation is None else f"&from={self.generation}"
+        self.watch = Watch(self, f"/discovery/hosts?watch=1{from_then}")
+        return self.watch
 
 
 class Discovery:
