Let a request go whole once its attempt is done, not when the attempt's timer is due

Cause: the timer that would end an attempt knows it, and of a finished attempt only the command as sent and its renewal were let go. What says where a large value goes (begun) was kept, and through it the request with its encoder, which has the whole command once more: every body stayed in memory until the attempt's time was up, some seconds, though none of the bounds on memory counted it any more.

Change: an attempt that is done lets go of that too.

Evidence: the new test holds a weak reference to a request's encoder, with the timer still to come; before the change it was alive after the answer, now it is not.

--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -79,10 +79,11 @@
     def finish(self, reply: Reply) -> None:
         """Tell the outcome, the first only.
 
-        The command is let go. Guards against bodies that are kept until the attempt's time is up, as the
-        timer that would end it knows the attempt.
+        The command and the client are let go. Guards against bodies that are kept until the attempt's time
+        is up, as the timer that would end it knows the attempt.
         """
         done, self.done, self.connection, self.payload, self.renew = self.done, None, None, b"", None
+        self.begun = _no_sink
         if done:
             done(reply)
 
--- a/tests/test_net_driver.py
+++ b/tests/test_net_driver.py
@@ -1,8 +1,10 @@
 """Events and actions: their order, one outcome for each send, timers, time."""
 
 import asyncio
+import gc
 import socket
 import time
+import weakref
 
 import pytest
 from fakes import FakeServer, array, call, node, run, until
@@ -289,3 +291,18 @@
             assert len(kept) == 1 and kept[0].payload == b"" and not gateway.driver.calls
 
     run(test())
+
+
+def test_request_that_is_over_is_let_go_whole_though_the_timer_of_its_attempt_is_not_due():
+    async def test():
+        async with node(FakeServer()) as gateway:
+            peer = await gateway.peer()
+            peer.send(call(1, "buy", body=b"x" * 60_000))
+            await until(lambda: bool(gateway.driver.calls))
+            encode = weakref.ref(next(iter(gateway.driver.calls.values())).encode)  # it has the command
+            assert await peer.reply() == b"0000000000000001" and not gateway.driver.calls
+            assert any(isinstance(argument, Attempt) for *_, argument in gateway.driver.timers)
+            gc.collect()
+            assert encode() is None
+
+    run(test())
