Begin no attempt for a client whose end the kernel has, though the loop has not

Change: an attempt asks its client's socket whether it has been closed or reset (poll for POLLRDHUP, no wait), as it is handed to a connection and again when a connection has come up for it. If so it ends as not sent, nothing more of that client is read, and its other requests end in the next turn.

--- a/brackenloft/net/clients.py
+++ b/brackenloft/net/clients.py
@@ -263,10 +263,24 @@
         self.leave()
 
     def has_left(self) -> bool:
-        """Whether the client has closed or reset the connection, though its bytes before that are unread."""
+        """Whether the connection has been closed or reset, though what the client sent before is unread."""
+        if self.transport is None or self.transport.is_closing():
+            return True
         poll = select.poll()
         poll.register(self.socket.fileno(), select.POLLRDHUP)
-        return bool(self.transport and not self.transport.is_closing() and poll.poll(0))
+        return bool(poll.poll(0))
+
+    def waits(self) -> bool:
+        """Whether the client is still there for an answer; asked before an attempt for it begins.
+
+        Guards against sending on for nobody what falls due between a client's end and the turn of the loop
+        that comes to it: that takes long where the loop is busy, and up to a sweep where nothing is read.
+        """
+        if not self.has_left():
+            return True
+        self.ending = True  # nothing more of it is taken
+        self.clients.loop.call_soon(self.leave)  # not now, among the actions of a decision
+        return False
 
     def leave(self) -> None:
         """Nobody waits any more for what has not been answered yet, and what was not taken is not asked."""
@@ -384,7 +398,7 @@
         slot = Slot(self, None, request.request_id, size)
         self.slots.append(slot)
         driver.request(
-            Call(request.request_id, encode, slot.fill, slot.begin), request, request.patience_ms)
+            Call(request.request_id, encode, slot.fill, slot.begin, self.waits), request, request.patience_ms)
 
     def _refuse(self, why: str) -> None:
         """A bad command: an error, and after many in a row the end."""
--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -47,14 +47,15 @@
 class Call:
     """A client's request in hand, until it has been answered and no attempt is out."""
 
-    __slots__ = ("request_id", "encode", "on_answer", "on_value", "value", "deadline", "sends", "out",
-                 "answered")
+    __slots__ = ("request_id", "encode", "on_answer", "on_value", "waits", "value", "deadline", "sends",
+                 "out", "answered")
 
     def __init__(
         self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[bytes], None],
-        on_value: Callable[[int, Attempt], Value] | None = None,
+        on_value: Callable[[int, Attempt], Value] | None = None, waits: Callable[[], bool] = lambda: True,
     ) -> None:
         self.request_id, self.encode, self.on_answer, self.on_value = request_id, encode, on_answer, on_value
+        self.waits = waits  # whether the client is still there
         self.value: Value | None = None  # once a large one has begun
         self.deadline, self.sends, self.answered = 0.0, 0, False
         self.out: dict[int, Attempt] = {}
@@ -183,7 +184,7 @@
 
         # Guards against a server that works for longer than anybody waits, where connecting took a while.
         attempt = Attempt(
-            call.encode(wait), done, begun, lambda: call.encode(now + wait - self.clock()))
+            call.encode(wait), done, begun, lambda: call.encode(now + wait - self.clock()), call.waits)
         call.out[number] = attempt
         self.servers.start(action.server, attempt)
         if number in call.out:
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -52,6 +52,10 @@
     return lambda piece: None
 
 
+def _wanted() -> bool:
+    return True
+
+
 class Attempt:
     """A command on its way to a server; ``done`` is called once with what came of it.
 
@@ -59,13 +63,14 @@
     piece as it comes. The reply's value is empty then.
     """
 
-    __slots__ = ("payload", "done", "connection", "begun", "sink", "renew")
+    __slots__ = ("payload", "done", "connection", "begun", "sink", "renew", "wanted")
 
     def __init__(
         self, payload: bytes, done: Callable[[Reply], None], begun: Callable[[int], Sink] = _no_sink,
-        renew: Callable[[], bytes] | None = None,
+        renew: Callable[[], bytes] | None = None, wanted: Callable[[], bool] = _wanted,
     ) -> None:
         self.renew = renew  # the command as it reads once a connection is up, which may take a while
+        self.wanted = wanted  # whether its client is still there
         self.payload, self.begun = payload, begun
         self.done: Callable[[Reply], None] | None = done
         self.connection: Connection | None = None
@@ -83,7 +88,7 @@
         is up, as the timer that would end it knows the attempt.
         """
         done, self.done, self.connection, self.payload, self.renew = self.done, None, None, b"", None
-        self.begun = _no_sink
+        self.begun, self.wanted = _no_sink, _wanted
         if done:
             done(reply)
 
@@ -202,6 +207,9 @@
         elif self.epoch != self.host.epoch or not self.host.ready:
             # Guards against a first byte to a server that began to drain, left or moved meanwhile.
             self.close(api.Status.CONNECT_FAILED)
+        elif not self.attempt.wanted():
+            # Guards against beginning for a client that left meanwhile, whose end the loop has not come to.
+            self.close(api.Status.NOT_SENT)
         else:
             renew = self.attempt.renew
             self._write(renew() if renew else self.attempt.payload)
@@ -391,11 +399,14 @@
             connection.close(api.Status.RESET)
 
     def start(self, server: int, attempt: Attempt) -> None:
-        """Send on the connection used last, or on a new one."""
+        """Send on the connection used last, or on a new one; nothing where nobody waits any more."""
         host = self.hosts.get(server)
         if host is None or not host.ready:
             attempt.finish(Reply(api.Status.CONNECT_FAILED))
             return
+        if not attempt.wanted():
+            attempt.finish(Reply(api.Status.NOT_SENT))
+            return
         connection = self._rested(host)
         if connection:
             connection.send(attempt)
