Hold back the end of a long command until the rest has gone, in case its client leaves

Cause: an attempt begins with its last byte at the server. Then the last byte had gone.

Change: of a command over 16 KiB the last two bytes are written once all before them has gone to the kernel, and only if its client is still there; else the attempt ends as not sent. An answer that comes before that ends the use of the connection, as what is left of the command would go out before the next one.

Ruled out: holding back of every command. A connection has nothing else under way as a command is written, and kernels begin with room for 16 KiB, so a shorter one goes whole.

Evidence: three new tests over a listener that reads little. Before: the server got the whole command of who had left (FIN and RST), and the connection with an answer out of time was kept as idle. The rest waits in the loop's buffer again only if the kernel is full to the byte as the last two come.

--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -30,6 +30,8 @@
 FIGURE = re.compile(r"[a-z_0-9]{1,20}=[0-9]{1,9}(\.[0-9]{1,20})?")
 SWEEP_S = 1.0  # between two looks at idle connections
 RECEIVE = 32 * 1024  # bytes that the kernel takes in ahead, about: what is read at once of a large value
+AT_ONCE = 16 * 1024  # bytes of a command that the kernel takes at once, as nothing else waits there
+TAIL = 2  # bytes of a longer one that are held back
 STALLED_S = 10.0  # a server that has begun a large value and gives no byte for so long is given up
 Address = tuple[str, int]
 
@@ -173,6 +175,7 @@
         self.reader = Answers()
         self.held = 0  # bytes of an answer that is not whole yet
         self.handed = False  # the attempt's last byte to the kernel
+        self.tail = b""  # of its command, held back until the rest has gone
         self.idle_since = self.heard = 0.0  # since when it is idle, and when a large value last came on
         self.closed = self.paused = False
         attempt.connection = self
@@ -222,13 +225,33 @@
         self._write(attempt.payload)
 
     def _write(self, payload: bytes) -> None:
+        """Write a command; the end of one that the kernel may not take at once only once it has the rest.
+
+        Guards against a client that leaves while its server is slow to take a command: the loop would write
+        the last byte, with which an attempt begins, before it comes to the client's end.
+        """
         assert self.transport is not None
         self.handed = False
-        self.transport.write(payload)
-        self.handed = self.transport.get_write_buffer_size() == 0
+        whole = len(payload) <= AT_ONCE
+        self.tail = b"" if whole else payload[-TAIL:]
+        self.transport.write(payload if whole else memoryview(payload)[:-TAIL])
+        if self.transport.get_write_buffer_size() == 0:
+            self._went()
 
     def resume_writing(self) -> None:
-        self.handed = True
+        self._went()
+
+    def _went(self) -> None:
+        """All that was written has gone to the kernel."""
+        tail, self.tail = self.tail, b""
+        if not tail:
+            self.handed = True
+        elif self.attempt and self.transport and not self.transport.is_closing():
+            if not self.attempt.wanted():
+                self.close(api.Status.NOT_SENT)
+                return
+            self.transport.write(tail)
+            self.handed = self.transport.get_write_buffer_size() == 0
 
     def data_received(self, data: bytes) -> None:
         """An answer, or a part of one; it is judged before the connection is used again.
@@ -464,8 +487,12 @@
             connection.close(api.Status.RESET)
 
     def give_back(self, connection: Connection) -> None:
-        """An attempt has ended well: keep its connection, unless the server changed meanwhile."""
-        if connection.closed or connection.epoch != connection.host.epoch:
+        """An attempt has ended well: keep its connection, unless the server changed meanwhile.
+
+        Nor where the answer came before the command had gone whole, as its rest is still to be written.
+        """
+        changed = connection.epoch != connection.host.epoch
+        if connection.closed or changed or not connection.handed:
             connection.close(api.Status.RESET)
             return
         connection.pause(False)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -4,19 +4,22 @@
 nothing of the connection, when an attempt falls due.
 """
 
+import asyncio
 import select
 import socket
 import struct
 
+import hiredis
 import pytest
 from fakes import FakeServer, Peer, array, call, node, run, until
 
-from brackenloft import Effect, Limits, Plan, RequestClass, TimerFired
+from brackenloft import Effect, Limits, Plan, RequestClass, ServerEntry, TimerFired
 from brackenloft.net import clients as clients_module
 from brackenloft.net import servers as servers_module
 from brackenloft.net.servers import Attempt, Connection
 
-CLASSES = (RequestClass("read", 200_000.0, 600_000.0, Effect.SAFE),)  # nothing falls due by itself
+CLASSES = (RequestClass("read", 200_000.0, 600_000.0, Effect.SAFE),  # nothing falls due by itself
+           RequestClass("buy", 200_000.0, 600_000.0, Effect.UNSAFE))
 PLANS = (Plan("free"), Plan("held", rate=0.2, burst=2.0), Plan("two", max_in_flight=2))  # one of two here
 LIMITS = Limits(max_attempts=3, may_duplicate=True, can_cancel=True, connect_timeout_ms=2000.0)
 LIMIT_MS = 10_000  # generous: what a loopback end takes to arrive
@@ -25,8 +28,8 @@
 LONG = range(100, 108)  # with a long answer
 
 
-def ask(number: int, plan: str = "free") -> bytes:
-    return call(number, plan=plan, wait=600_000)
+def ask(number: int, plan: str = "free", **more) -> bytes:
+    return call(number, plan=plan, wait=600_000, **more)
 
 
 def name(number: int) -> bytes:
@@ -277,3 +280,63 @@
             assert leaver.client.asked == 8  # and nothing is read on
 
     run(test())
+
+
+async def half_written(gateway, listener, leaver) -> socket.socket:
+    """A client has sent a command that its server takes only in part; the server's end of the connection."""
+    loop = asyncio.get_running_loop()
+    listener.setblocking(False)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    gateway.told((ServerEntry(1, "a"), listener.getsockname()))
+    await leaver.open(gateway)
+    leaver.socket.setblocking(False)
+    await loop.sock_sendall(leaver.socket, ask(FIRST, kind="buy", body=b"x" * 4_000_000))
+    accepted, _ = await loop.sock_accept(listener)
+    await until(lambda: leaver.client.paused and bool(gateway.driver.calls))
+    (connection,) = out(gateway, FIRST)
+    await until(lambda: connection.transport and connection.transport.get_write_buffer_size() > 0)
+    return accepted
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_last_byte_of_a_command_that_its_server_is_slow_to_take_is_not_written_once_the_client_has_left(
+        how, monkeypatch):
+    monkeypatch.setattr(clients_module, "SWEEP_S", 3600.0)
+
+    async def test():
+        async with node(classes=CLASSES, plans=PLANS) as gateway:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                leaver, reader = Leaver(how), hiredis.Reader()
+                accepted = await half_written(gateway, listener, leaver)
+                leaver.go()
+                command = False
+                while command is False and (data := await received(accepted)):
+                    reader.feed(data)
+                    command = reader.gets()
+                assert command is False
+                await until(lambda: not gateway.driver.calls)
+                accepted.close()
+
+    run(test())
+
+
+def test_connection_on_which_an_answer_came_before_the_command_was_written_whole_is_not_used_again():
+    async def test():
+        async with node(classes=CLASSES, plans=PLANS) as gateway:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                leaver = Leaver("end")
+                accepted = await half_written(gateway, listener, leaver)
+                accepted.send(b"-ERR\r\n")
+                await until(lambda: not gateway.driver.calls)
+                assert not gateway.servers.hosts[1].idle and not gateway.servers.connections
+                accepted.close()
+
+    run(test())
+
+
+async def received(sock: socket.socket) -> bytes:
+    """The next bytes, or none once the connection has ended in whatever way."""
+    try:
+        return await asyncio.get_running_loop().sock_recv(sock, 1 << 20)
+    except OSError:
+        return b""
