Close the descriptor of a connection to a server once, also where it ends as it comes up

Cause: uvloop's create_connection(sock=...) takes the number of the socket when the transport is made, but takes charge of the socket object only two turns of the loop later. A connection that ended between the two (the client left, news of its server came, its time was up) was closed by the loop, and the socket object kept the number. When that object was let go of, it closed the number anew: by then another connection's, a client's, the watch on discovery's or the listener's. That one was gone with no word to the loop.

Evidence: with a connection closed, or its server renewed, in that turn, the socket object still held its number after the loop had closed it, a file opened next got the same number and was closed under its owner by the socket's end.

Ruled out: clients' connections (connect_accepted_socket takes charge of the socket at once), connections still connecting (closed by us, once), connections that were up (the socket held no number afterwards).

Change: the socket object lets go of the number in connection_lost, right before the loop closes it.

--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -338,6 +338,13 @@
     # ---- The end
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended; the loop closes its descriptor as this returns.
+
+        Guards against closing it twice where it ended as it came up: uvloop knows of the socket only after
+        that, and the socket would close the number anew when it is let go of, then another's.
+        """
+        if self.socket:
+            self.socket.detach()
         self.close(api.Status.RESET if self.handed else api.Status.CONNECT_FAILED)
 
     def close(self, status: api.Status) -> None:
