Count a server connection's descriptor until the loop has closed it; new ones wait for a place

Cause: a connection left the count at close(), but the loop closes its descriptor later. One that was closed between its socket's connect and the transport's word that it is up is closed only then, turns later, while its place was given to another connection. A re-listing, a ban or many clients who leave at once close hundreds in one turn, and as many are opened in the same turn.

Ruled out: connections that are up (aborted in the order of the calls, so they are closed before those begun after them open; one to seven turns were tried, only those caught coming up overflow), connecting sockets (closed when their task is cancelled, also before what is begun after it), operators' callers (60 at once: 8 kept and 2 closing, of 16 set aside), clients (places are counted from accepting until connection_lost).

Change: Servers.places counts from before a socket is made until connection_lost, or until the task that opens it has ended without a transport; a connection that finds no place waits for the next one to be free, a turn or two. The process that takes over is told of places, not of connections.

Tests: 40 connections closed and reopened in one turn after 1 to 7 turns; with the wait taken out the case of 4 turns fails (80 descriptors of 40), the other six pass. A connection that waits can be given up; with its removal taken out it fails. 20 runs of the file, all passed.

Left: where every place is held by attempts that are out or connecting, none idle, a further attempt ends as "could not connect", as before; it takes nothing from the watch or from clients.

--- a/brackenloft/net/handover.py
+++ b/brackenloft/net/handover.py
@@ -432,7 +432,7 @@
 
     def _tell_holds(self) -> None:
         """Tell what this process still holds of the limits that both share, when it has changed."""
-        holds = {"clients": self.clients.places, "servers": len(self.servers.connections)}
+        holds = {"clients": self.clients.places, "servers": self.servers.places}
         if holds != self.told and self.after:
             self.told = holds
             self.after.send({"kind": "holds", **holds})
--- a/brackenloft/net/servers.py
+++ b/brackenloft/net/servers.py
@@ -10,6 +10,7 @@
 import logging
 import re
 import socket
+from collections import deque
 from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
@@ -200,6 +201,11 @@
             if sock and self.socket is None:
                 sock.close()
 
+    def opened(self, task: asyncio.Task[None]) -> None:
+        """``open`` has ended, or never began. Where no transport came of it, no descriptor is left."""
+        if self.transport is None:
+            self.servers.place_free()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are not asyncio.Transport by class: no isinstance here
         self.transport = cast(asyncio.Transport, transport)
@@ -346,6 +352,7 @@
         if self.socket:
             self.socket.detach()
         self.close(api.Status.RESET if self.handed else api.Status.CONNECT_FAILED)
+        self.servers.place_free()  # the loop closes the descriptor as this returns
 
     def close(self, status: api.Status) -> None:
         """Close at once; the attempt on it, if any, ends with this status.
@@ -383,6 +390,8 @@
         self.hosts: dict[int, Host] = {}
         self.barred: set[int] = set()  # also those that no list names now
         self.connections: set[Connection] = set()
+        self.places = 0  # descriptors taken: counted from before they are opened until they are closed
+        self.waiting: deque[Connection] = deque()  # for those that are closing to be closed
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     def update(self, news: api.ServerList, addresses: Mapping[int, Address]) -> None:
@@ -465,7 +474,25 @@
             return
         connection = Connection(self, host, attempt)
         self.connections.add(connection)
-        connection.task = self.loop.create_task(connection.open())
+        self.waiting.append(connection)
+        self._open_waiting()
+
+    def _open_waiting(self) -> None:
+        """Open connections as far as there are places.
+
+        Guards against running out of descriptors where many connections are closed and as many opened in
+        one turn of the loop: it closes their descriptors some turns later.
+        """
+        while self.waiting and self.places + self.elsewhere < self.most_connections:
+            connection = self.waiting.popleft()
+            self.places += 1
+            connection.task = self.loop.create_task(connection.open())
+            connection.task.add_done_callback(connection.opened)
+
+    def place_free(self) -> None:
+        """The descriptor of a connection has been closed, or is as the loop goes on."""
+        self.places -= 1
+        self._open_waiting()
 
     def _evict(self) -> bool:
         """Close the connection that has been idle longest, to make room under the limit on descriptors."""
@@ -514,10 +541,12 @@
             raise ProtocolError("more answers than there is memory for")
 
     def forget(self, connection: Connection) -> None:
-        """A connection that is closing counts no more."""
+        """A connection that is closing counts no more; its place stays taken until it is closed."""
         self.connections.discard(connection)
         with suppress(ValueError):
             connection.host.idle.remove(connection)
+        with suppress(ValueError):
+            self.waiting.remove(connection)
 
     def _sweep(self) -> None:
         """Retire idle connections well before the server does, which would reset a request written then."""
@@ -528,6 +557,7 @@
         before = self.loop.time() - STALLED_S
         for connection in [c for c in self.connections if c.stalled(before)]:
             connection.close(api.Status.RESET)
+        self._open_waiting()  # the other process may have let go of some
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     def close_all_idle(self) -> None:
