Work out what descriptors a process needs beside clients and servers, and set that aside

Cause: 32 were set aside by estimate. Counted out, a process that hands over needs up to 40 of its own (the table below, with 16 connections waiting), and one that was started with others open needs those too.

Descriptors 256 256 with operators' calls 1,024 1,024 with them standard streams 3 3 3 3 (all that are open at the start, where that is more) loop 10 10 10 10 (epoll and its ring, two pipes and a pair of sockets for signals, the wake-up, one in reserve) watch on discovery 4 4 4 4 (old address, new address, one closing of each) listeners 2 2 2 2 (clients; a process that takes over) hand-over 11 11 11 11 (channels before and after, 8 connections that wait to be passed on, the listener) files for a moment 2 2 2 2 margin 8 8 8 8 operators' callers - 17 - 17 (8, as many closing, the listener) servers 54 49 246 241 clients 162 150 738 726 sum 256 256 1,024 1,024

Before, servers had 56 and clients 168 of 256. Checked against /proc of a process by `run` with operators' calls: 24 descriptors with one client, one server and one watch, five of them inherited, as the table has it.

Tests: a process by `run`, held to 128 descriptors by the kernel as well, 200 clients who say nothing, half a command or PING and come again as soon as they are closed, 30 silent servers that take all the servers' share, discovery gone, then back and moved by SIGHUP at the same time to a list with a server that never comes up and a good one: news is heard, a request is served, no "Too many open files" in the log.

Left: strangers at the hand-over's socket, which only the same user can reach, are not bounded in number for the 2 s that each may stay.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -23,15 +23,22 @@
 from brackenloft.net.clients import Clients
 from brackenloft.net.discovery import Discovery, Roster
 from brackenloft.net.driver import Clock, Driver
-from brackenloft.net.handover import Estate, Handover, ask, place
+from brackenloft.net.handover import MOST_QUEUED, Estate, Handover, ask, place
 from brackenloft.net.management import MOST_CALLERS, Management
 from brackenloft.net.servers import Address, Servers
 from brackenloft.settings import settings_from
 
 log = logging.getLogger("brackenloft")
 
-OTHER_DESCRIPTORS = 32  # beside clients and servers: the log, the loop, discovery, the listener, a margin
-FOR_CALLERS = 2 * MOST_CALLERS  # of operators: one that makes room is closed a turn of the loop later
+STANDARD = 3  # descriptors: standard input, output and error, which is the log
+FOR_LOOP = 10  # epoll and its ring, the wake-up, two pipes and a pair of sockets for signals, one in reserve
+FOR_WATCHES = 4  # on discovery: at its old address and at its new one, and as many that are closing
+FOR_LISTENERS = 2  # for clients, and for a process that takes over
+FOR_PASSING = 2 + MOST_QUEUED + 1  # channels to the process before and the next; connections, the listener
+FOR_FILES = 2  # open for a moment: the configuration at SIGHUP, a folder
+MARGIN = 8
+OTHER_DESCRIPTORS = FOR_LOOP + FOR_WATCHES + FOR_LISTENERS + FOR_PASSING + FOR_FILES + MARGIN
+FOR_CALLERS = 2 * MOST_CALLERS + 1  # operators: one that makes room is closed a little later; the listener
 SERVERS_SHARE = 0.25  # of the rest. Clients hold a third of all for requests, as many again have asked once
 # and may not be closed for 2 s, and some say nothing; what is out at servers is a small part of that
 MEGABYTE = 1 << 20
@@ -71,6 +78,24 @@
         return self.passed <= LOG_LINES
 
 
+def _open_descriptors() -> int:
+    """How many descriptors the process was started with; the standard three where that can't be told."""
+    try:
+        return len(os.listdir("/proc/self/fd")) - 1  # one of them to read this
+    except OSError:
+        return STANDARD
+
+
+def shares(descriptors: int, inherited: int, managed: bool) -> tuple[int, int]:
+    """Descriptors for clients and for servers: what the process does not need otherwise is split in two.
+
+    Guards against idle clients that take those of the watch on discovery, of servers or of operators.
+    """
+    rest = descriptors - inherited - OTHER_DESCRIPTORS - (FOR_CALLERS if managed else 0)
+    for_servers = int(max(2, rest) * SERVERS_SHARE)
+    return max(2, rest) - for_servers, for_servers
+
+
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return host, int(port)
@@ -86,6 +111,7 @@
     mgmt: Address | None  # where operators call, if they do
     seed: int
     descriptors: int
+    inherited: int  # of them, at the start
     memory: int  # bytes
     known: Any
     settings: api.Settings
@@ -101,6 +127,7 @@
             discovery=_address(environment.get("EDGE_DISCOVERY") or document["discovery"]),
             mgmt=_address(mgmt) if mgmt else None,
             seed=int(document["seed"], 16), descriptors=int(document["limits"]["sockets"]),
+            inherited=max(STANDARD, _open_descriptors()),
             memory=int(document["limits"]["memory_mb"]) * MEGABYTE,
             known=document["known"], settings=settings_from(document["settings"]),
         )
@@ -128,12 +155,11 @@
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, again.set)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-    budget = max(2, config.descriptors - OTHER_DESCRIPTORS - (FOR_CALLERS if config.mgmt else 0))
-    for_servers = int(budget * SERVERS_SHARE)
+    for_clients, for_servers = shares(config.descriptors, config.inherited, config.mgmt is not None)
     held = max(LEAST_HELD, int((config.memory - PROGRAM) * HELD_SHARE))
     servers = Servers(config.settings, for_servers, held)
     driver = Driver(Gateway(config.settings, config.seed), servers, Clock())
-    clients = Clients(driver, config.settings, budget - for_servers, held)
+    clients = Clients(driver, config.settings, for_clients, held)
 
     def news(listing: api.ServerList, addresses: dict[int, Address]) -> None:
         servers.update(listing, addresses)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -2,13 +2,31 @@
 
 import asyncio
 import gc
+import json
 import os
+import signal
 import socket
+from contextlib import contextmanager, suppress
 
 import pytest
-from fakes import MOST_HELD, SETTINGS, run, until
+import test_net_process as process_module
+from fakes import (
+    MOST_HELD,
+    SETTINGS,
+    FakeDiscovery,
+    FakeServer,
+    array,
+    call,
+    chunk,
+    listing,
+    resp,
+    row,
+    run,
+    until,
+)
 
 from brackenloft import ListKind, ServerEntry, ServerList, Status
+from brackenloft import __main__ as program_module
 from brackenloft.net.servers import Attempt, Servers
 
 
@@ -43,8 +61,8 @@
     run(test())
 
 
-def open_now() -> int:
-    return len(os.listdir("/proc/self/fd"))
+def open_now(process: int | str = "self") -> int:
+    return len(os.listdir(f"/proc/{process}/fd"))
 
 
 @pytest.mark.parametrize("turns", range(1, 8))
@@ -99,3 +117,106 @@
             servers.close()
 
     run(test())
+
+
+@pytest.mark.parametrize("managed", [False, True])
+@pytest.mark.parametrize("limit", [256, 1024])
+def test_sum_of_all_shares_is_the_limit(limit, managed):
+    others = program_module.OTHER_DESCRIPTORS + (program_module.FOR_CALLERS if managed else 0)
+    assert sum(program_module.shares(limit, 7, managed)) + 7 + others == limit
+
+
+class Crowd:
+    """Clients that say one thing each and stay; those who are closed come again at once."""
+
+    def __init__(self, port: int, said: list[bytes]) -> None:
+        self.port, self.came = port, 0
+        self.tasks = [asyncio.ensure_future(self._stay(words)) for words in said]
+
+    async def _stay(self, words: bytes) -> None:
+        while True:
+            with suppress(OSError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                self.came += 1
+                writer.write(words)
+                while await reader.read(1000):
+                    pass
+                writer.close()
+            await asyncio.sleep(0)
+
+    async def end(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+@contextmanager
+def late_server():
+    """The port of a server that never comes up: its queue is full, so that connecting to it just takes."""
+    with socket.socket() as listener, socket.socket() as first, socket.socket() as second:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        for sock in (first, second):
+            sock.setblocking(False)
+            sock.connect_ex(listener.getsockname())
+        yield listener.getsockname()[1]
+
+
+LIMIT, CROWD = 128, 200  # descriptors of the process, and clients who ask nothing
+SILENT, OUT = 30, 15  # servers that only answer at the end, and at least so many attempts out to them
+SAID = {"nothing": b"", "half a command": call(1)[:50], "PING": resp("PING")}
+
+
+@pytest.mark.parametrize("said", SAID)
+def test_news_is_heard_and_requests_are_served_while_a_crowd_holds_all_there_is_for_clients(
+    said, tmp_path, monkeypatch, capfd,
+):
+    """Discovery is gone, comes back, and moves as it does; servers hold all they may meanwhile.
+
+    The kernel itself holds the process to its limit.
+    """
+    monkeypatch.setattr(process_module, "command", lambda plain=process_module.command: (
+        f"ulimit -n {LIMIT}; {plain()}"))
+
+    async def test():
+        silent = await FakeServer(lambda words: None).start()
+        good = await FakeServer(lambda words: array(b"v")).start()
+        with late_server() as late:
+            async with process_module.program(tmp_path, silent, LIMIT, SILENT) as (process, port, discovery):
+                path, most = tmp_path / "config.json", 0
+                _, watch = await discovery.watch()
+                discovery.server.close()
+                rows = json.loads(path.read_text())["known"]["instances"]
+                watch.write(chunk(listing(2, *rows, reset=True)))
+                early = await process_module.connect(port)
+                while await early.ask(resp("PING")) != b"PONG":
+                    await asyncio.sleep(0.01)
+                watch.close()  # from here on it can't be reached
+                crowd = Crowd(port, [SAID[said]] * CROWD)
+                early.send(*(call(number, wait=60_000) for number in range(100, 160)))
+                while crowd.came < CROWD + LIMIT or len(silent.commands) < OUT:
+                    await asyncio.sleep(0.01)
+                    most = max(most, open_now(process.pid))
+                back = await asyncio.start_server(discovery._serve, "127.0.0.1", discovery.port)
+                moved = await FakeDiscovery().start()
+                document = json.loads(path.read_text())
+                path.write_text(json.dumps({**document, "discovery": f"127.0.0.1:{moved.port}"}))
+                process.send_signal(signal.SIGHUP)
+                (_, old), (_, new) = await discovery.watch(), await moved.watch()
+                old.write(chunk(listing(3, row("s-late", late), row("s-good", good.port), reset=True)))
+                new.write(chunk(listing(9, row("s-late", late), row("s-good", good.port), reset=True)))
+                assert await discovery.ended.get() == "by the gateway"  # as the new one has been heard
+                most = max(most, open_now(process.pid))
+                silent.answer = lambda words: array(b"late")
+                for writer in silent.writers:
+                    writer.write(array(b"late"))
+                peer, number = await process_module.connect(port), 200
+                while await peer.ask(call(number := number + 1)) != b"v":
+                    await asyncio.sleep(0.01)
+                most = max(most, open_now(process.pid))
+                assert most <= LIMIT
+                await crowd.end()
+                back.close()
+
+    run(test())
+    assert "Too many open files" not in capfd.readouterr().err
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -64,14 +64,18 @@
 
 
 @asynccontextmanager
-async def program(tmp_path, server: FakeServer):
-    """The running program, the port it listens on and the discovery it watches."""
+async def program(tmp_path, server: FakeServer, descriptors: int = 1024, known: int = 1):
+    """The running program, the port it listens on and the discovery it watches.
+
+    It knows so many servers, all at the address of the one.
+    """
     discovery, port = await FakeDiscovery().start(), free_port()
     path = tmp_path / "config.json"
     path.write_text(json.dumps({
         "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery.port}",
-        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": {"generation": 1, "reset": True, "instances": [row("s-1", server.port)]},
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": descriptors},
+        "known": {"generation": 1, "reset": True,
+                  "instances": [row(f"s-{number}", server.port) for number in range(1, known + 1)]},
         "settings": SETTINGS,
     }))
     env = {**os.environ, "EDGE_CONFIG": str(path), "EDGE_NAME": "n0", "EDGE_LISTEN": f"127.0.0.1:{port}",
