--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -64,12 +64,15 @@
 
 
 @asynccontextmanager
-async def program(tmp_path, server: FakeServer, descriptors: int = 1024, known: int = 1):
+async def program(
+    tmp_path, server: FakeServer, descriptors: int = 1024, known: int = 1,
+    discovery: FakeDiscovery | None = None,
+):
     """The running program, the port it listens on and the discovery it watches.
 
     It knows so many servers, all at the address of the one.
     """
-    discovery, port = await FakeDiscovery().start(), free_port()
+    discovery, port = discovery or await FakeDiscovery().start(), free_port()
     path = tmp_path / "config.json"
     path.write_text(json.dumps({
         "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery.port}",
--- /dev/null
+++ b/tests/test_restarts.py
@@ -0,0 +1,78 @@
+"""Readiness after a start, whatever state discovery is in and whether any server is known."""
+
+import asyncio
+import sys
+
+import pytest
+import test_net_process as process_module
+from fakes import FakeDiscovery, FakeServer, array, call, chunk, listing, resp, row, run
+from test_net_process import connect, program
+
+TROUBLES = ("refused", "turned away", "silent")
+
+
+class Troubled(FakeDiscovery):
+    """A discovery that is of no use until its trouble is over."""
+
+    def __init__(self, trouble: str) -> None:
+        super().__init__()
+        self.trouble = trouble
+
+    async def start(self) -> FakeDiscovery:
+        await super().start()
+        if self.trouble == "refused":
+            self.server.close()
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if not self.trouble:
+            await super()._serve(reader, writer)
+            return
+        if self.trouble == "turned away":
+            writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+        else:
+            await reader.read()
+        writer.close()
+
+    async def recover(self) -> None:
+        if self.trouble == "refused":
+            self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.trouble = ""
+
+
+async def restart(folder, trouble: str, known: int) -> None:
+    """One process from its start until it has heard discovery again and serves by that."""
+    folder.mkdir()
+    old = await FakeServer(lambda words: array(b"old")).start()
+    new = await FakeServer(lambda words: array(b"new")).start()
+    discovery = await Troubled(trouble).start()
+    async with program(folder, old, known=known, discovery=discovery) as (process, port, _):
+        peer, number = await connect(port), 1
+        while await peer.ask(resp("PING")) != b"PONG":
+            await asyncio.sleep(0.01)
+        assert discovery.targets.empty()  # it has heard nothing
+        if known:
+            assert await peer.ask(call(number)) == b"old"
+        await discovery.recover()
+        _, watch = await discovery.watch()
+        watch.write(chunk(listing(2, row("s-new", new.port), reset=True)))
+        while await peer.ask(call(number := number + 1)) != b"new":
+            await asyncio.sleep(0.01)
+        assert process.returncode is None
+
+
+@pytest.mark.parametrize("known", [2, 0])
+def test_restarted_process_is_ready_and_serves_whatever_state_discovery_is_in(known, tmp_path):
+    async def test():
+        await asyncio.gather(*(restart(tmp_path / trouble, trouble, known) for trouble in TROUBLES))
+
+    run(test())
+
+
+@pytest.mark.parametrize("trouble", ["refused", "turned away"])
+def test_one_who_is_turned_away_serves_by_the_known_list_at_once(trouble, tmp_path, monkeypatch):
+    code = ("from brackenloft import __main__ as program\nprogram.FIRST_LIST_S = 3600.0\n"
+            "raise SystemExit(program.main())")
+    monkeypatch.setattr(process_module, "command", lambda: f'exec {sys.executable} -c "$CODE"')
+    monkeypatch.setenv("CODE", code)
+    run(restart(tmp_path / trouble, trouble, 2))
