Let cold servers carry their part by warmth, and keep the fleet's sum in the tipping budget

Two causes: a server at ease got its part by capacity without a bound, and the turns, laid end to end, moved as servers warmed up, so that what waited or was sent again came in the turn of the next server.

Now each cold server has a place by its capacity, of which its turns fill the front: all of it, or half of the tipping budget at most. Answers move the share no more, so that quick ones by chance can't. In its turn a server is taken unless most look better, and doubt counts from DOUBTED on. The share is still one of the gateway's own requests, over the servers it has.

Not tried: a further tier for servers that answer quickly.

--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -103,12 +103,8 @@
 SAMPLE = 10  # servers compared for a request, drawn at random, beside as many that answered it quickly last
 
 # Cold servers
-COLD_SAFETY = 0.33  # of the tipping budget that a full fleet's even share may use: chance and heavy requests
-COLD_RISE = 0.6  # of the tipping budget and the warmth, by which that may be more once others have told
-LEAST_THAW = 0.5  # how quick cold servers together are taken to be at most
-EASE = 1.25  # relative latency up to which a cold server is at ease
-EASE_ANSWERS = 3  # good answers from here before that is believed
-EASE_OUT = 1  # attempts out from here beside the next one
+COLD_SAFETY = 0.5  # of the tipping budget: a burst of half as much again and chance fit into the rest
+COLD_RANK = 0.75  # of the servers compared: a cold one is taken in its turn unless so many look better
 
 # Attempts
 RETRY_SHARE = 0.2  # further attempts per first one, over time: bounds what failures can add to the load
@@ -164,7 +160,7 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("id", "zone", "cell", "ready", "listed", "started", "out", "ratio", "ratio_at",
-                 "queue", "queue_at", "marks", "answered")
+                 "queue", "queue_at", "marks")
 
     def __init__(self, entry: ServerEntry) -> None:
         self.id = entry.server
@@ -176,7 +172,6 @@
         """Forget what a process that is gone has shown."""
         self.ratio, self.ratio_at, self.queue, self.queue_at = 1.0, NEVER, 0.0, NEVER
         self.marks: dict[str, Mark] = {}
-        self.answered = 0  # attempts from here with a good answer
 
     def update(self, entry: ServerEntry) -> None:
         """Take over what discovery says."""
@@ -235,7 +230,6 @@
         self.sends = 0
         self.ready: list[Server] = []
         self.cold: list[Server] = []
-        self.thaw, self.thawed = 1.0, 0  # relative latency of all cold servers together, and good answers
         self.paired = False  # whether another process of this gateway has to hear of what is out
         self.barred: dict[int, float] = {}  # servers that operators took out, and since when
         self.attached: dict[int, tuple[float, float]] = {}  # and let in again: since when out, and until when
@@ -524,16 +518,22 @@
 
     def _cost(self, flight: Flight, server: Server) -> float:
         """The wait expected at a server, in mean latencies."""
-        load = 1.0 + len(server.out) + QUEUE_WEIGHT * server.queue * self._fade(server.queue_at)
+        waiting = len(server.out) + QUEUE_WEIGHT * server.queue * self._fade(server.queue_at)
         ratio = 1.0 + (server.ratio - 1.0) * self._fade(server.ratio_at)
-        cost = ratio * load * (1.0 + DOUBT_COST * self._doubt(flight, server))
-        cost *= self._warmth(server)  # who comes in the turn of a cold server should take it
+        warmth, doubt = self._warmth(server), self._doubt(flight, server)
+        if warmth < 1.0 and doubt < DOUBTED:
+            doubt = 0.0  # it is slow for a request as a cold server has to be: its turns are few for that
+        cost = ratio * (warmth * (warmth + waiting) + (1.0 + waiting) * DOUBT_COST * doubt)
         if server.zone != self.settings.zone:
             cost *= 1.0 + CROSS_WEIGHT * self.settings.cross_zone_price
         return cost * (1.0 + SPREAD * self.random.random())
 
     def _choose(self, flight: Flight) -> Server | None:
-        """The best of some servers: ready, in the request's group, cold only in its turn, not yet tried."""
+        """The best of some servers: ready, in the request's group, cold only in its turn, not yet tried.
+
+        A cold one is taken in its turn unless most look better. Guards against starving it: the best of ten
+        is quick by chance, and beats one that few requests are open to at all. Harm: some answers are slower.
+        """
         if not flight.sends and len(self.young) >= self.pool - flight.turn:
             return None  # a pool of 1.4: one out for each request, a second for four in ten
         few = self.ready
@@ -546,7 +546,10 @@
             few = self.random.sample(few, SAMPLE) + quick + (self.cold if not flight.sends else [])
         turn = self._in_turn(flight) if self.cold else None
         few = [s for s in few if s.ready and (s is turn or self._warmth(s) >= 1.0)]
-        return min(few, key=lambda server: self._cost(flight, server), default=None)
+        ranked = sorted(few, key=lambda server: self._cost(flight, server))
+        if turn in ranked[:ceil(COLD_RANK * len(ranked))]:
+            return turn
+        return ranked[0] if ranked else None
 
     def _in_group(self, flight: Flight, server: Server) -> bool:
         """Whether the request may go to this server, by what may have run already."""
@@ -661,10 +664,6 @@
         ratio = 1.0 + (server.ratio - 1.0) * self._fade(server.ratio_at)
         server.ratio = ratio + SERVER_STEP * (latency / mean - ratio)
         server.ratio_at = (self.now, self.sends)
-        server.answered += 1
-        if self._warmth(server) < 1.0:
-            self.thawed += 1
-            self.thaw += SERVER_STEP * (latency / mean - self.thaw)
 
     def _report(self, server: Server, load: tuple[float, ...] | None) -> None:
         if load:
@@ -681,49 +680,25 @@
             return 1.0
         return rules.cold_share + (1.0 - rules.cold_share) * max(0.0, age) / rules.warm_up_ms
 
-    def _at_ease(self, server: Server) -> bool:
-        """Whether a cold server has answered some from here as quickly as others, with next to none out now.
-
-        It may have its part by the capacity of all that are ready then. Guards against sending nearly all to
-        the few warm ones after a release, while those that came back stand idle. One that is sent more than
-        it can do shows it in its first slow answer, and in what is out, long before it is pushed over.
-        """
-        quick = 1.0 + (server.ratio - 1.0) * self._fade(server.ratio_at) <= EASE
-        return server.answered >= EASE_ANSWERS and quick and len(server.out) <= EASE_OUT
-
-    def _cold_share(self, server: Server, warmth: float, capacity: float) -> float:
-        """The share of all requests that a cold server may get: its part by the capacity that is ready.
-
-        Less until answers bear that out: its own, or where it has not given enough of them from here, those
-        of all cold servers together. Guards against each gateway of many finding out for itself, by which
-        time the few warm ones are overrun while the others idle. Where others have told, its part may be
-        larger than by the least warmth, as they answer faster, but stays within the tipping budget.
-        """
-        tip, even = self.settings.contract.tip_multiple, warmth / len(self.ready)
-        share = min(1.0, COLD_SAFETY * tip) * even
-        if self._at_ease(server):
-            return max(share, warmth / capacity)
-        if self.thawed >= EASE_ANSWERS and self.thaw <= EASE and len(server.out) <= EASE_OUT:
-            most = (COLD_SAFETY + COLD_RISE * warmth) * tip * even
-            return max(share, min(most, warmth / capacity / max(LEAST_THAW, self.thaw)))
-        return share
-
     def _in_turn(self, flight: Flight) -> Server | None:
         """The cold server that this request may go to, if any: its turn is drawn once for each request.
 
-        Guards against pushing a cold server over: of all requests at all gateways it is open to its share
-        at most, however good it looks, however often a request asks again, whatever the number of gateways.
-        It also spreads the burst after a list change. The turns lie end to end: left to chance, they would
-        overlap, and a third of the requests find none where nearly all servers are cold. Harm: where most
-        servers are cold at once, requests wait or are refused though the multiple would allow more.
+        Its part is by the capacity that is ready, within the tipping budget. Guards against pushing a cold
+        server over: of all requests at all gateways it is open to its part at most, however good it looks,
+        however often a request asks again, whatever the number of gateways. Each has a place of its own by
+        its capacity, of which its turns fill the front: where places ended with the turns, they moved as
+        servers warmed up, and requests that waited or were sent again came in the turn of the next one.
+        Harm: where most are cold at once, requests wait or are refused though the multiple would allow more.
         """
-        capacity, end = sum(self._warmth(server) for server in self.ready), 0.0
+        capacity, start = sum(self._warmth(server) for server in self.ready), 0.0
+        part = min(1.0, COLD_SAFETY * self.settings.contract.tip_multiple * capacity / len(self.ready))
         for server in self.cold:
             warmth = self._warmth(server)
             if server.ready and warmth < 1.0:
-                end += self._cold_share(server, warmth, capacity)
-                if flight.turn < end:
+                place = warmth / capacity
+                if 0.0 <= flight.turn - start < part * place:
                     return server
+                start += place
         return None
 
     # ---- Attempts
