Read lists of any length in pieces, and work with the subset of the servers that is nearest

Cause: each gateway took every server there is into its rows, numbers, decisions and connections, and read each list at once. A bound alone would not do: the choice costs memory and connections at both ends, and each change is paid by each gateway.

Now a document of over 64 KB is read by ijson, 16 KB at a time, with a turn for all others between, and nothing more is taken from the connection meanwhile; a row has to end within 64 KB, rows and names are bounded. Roster keeps the rows of the nearest servers (subset.Nearest, twice the size) and only the names of the others. What a long list tells goes to the decisions as changes, some rows at a time, and what is gone last, so that a list that breaks off loses nothing. Gateway works with the nearest that are ready; for each that fails half of what it is sent, one of the reserve stands in until that has passed; once too many of the nearest have gone the whole list is asked for. What may be out at first goes by all servers listed (FIRST_LIMIT times servers by gateways), the cold share by the subset, which as many gateways share as make up the same sum. Where all servers fit (256, or 24 for each gateway's even part), all stays as it was.

Ruled out: json.loads of the whole (0.2 s at once); a scanner of our own (no library).

Tests: 38,000 rows over a socket, turns of others counted; a whole list in the middle; breaks; nine forms that never end or are no list; a list in pieces against the same at once over random lists (Hypothesis); the reserve; a server that leaves the subset with an attempt out; a subset that hangs up. Without the change they fail, the first as never heard.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -21,10 +21,11 @@
 from brackenloft.logic import Gateway
 from brackenloft.net.bans import Bans
 from brackenloft.net.clients import Clients
-from brackenloft.net.discovery import Discovery, Roster
+from brackenloft.net.discovery import Discovery
 from brackenloft.net.driver import Clock, Driver
 from brackenloft.net.handover import MOST_QUEUED, Estate, Handover, ask, place
 from brackenloft.net.management import MOST_CALLERS, Management
+from brackenloft.net.roster import Roster
 from brackenloft.net.servers import Address, Servers
 from brackenloft.settings import settings_from
 
@@ -158,7 +159,8 @@
     for_clients, for_servers = shares(config.descriptors, config.inherited, config.mgmt is not None)
     held = max(LEAST_HELD, int((config.memory - PROGRAM) * HELD_SHARE))
     servers = Servers(config.settings, for_servers, held)
-    driver = Driver(Gateway(config.settings, config.seed), servers, Clock())
+    gateway = Gateway(config.settings, config.seed)
+    driver = Driver(gateway, servers, Clock())
     clients = Clients(driver, config.settings, for_clients, held)
 
     def news(listing: api.ServerList, addresses: dict[int, Address]) -> None:
@@ -167,7 +169,7 @@
         if listing.kind is not api.ListKind.CACHED:
             clients.ready = True
 
-    discovery = Discovery(news, config.seed)
+    discovery = Discovery(news, config.seed, gateway.subset)
     # with a list that is known, one who is turned away serves by it at once
     discovery.on_unheard = lambda: setattr(clients, "ready", clients.ready or bool(discovery.roster.rows))
     handover = Handover(place(config.listen), driver, clients, servers)
--- a/brackenloft/interface.py
+++ b/brackenloft/interface.py
@@ -203,7 +203,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerEntry:
-    """A server in a list. ``started_ms`` is the clock time of its last start, 0 if long past."""
+    """A server in a list. ``started_ms`` is the clock time of its last start, 0 if long past.
+
+    ``name`` is what all gateways call it; where it is not given, the number is the same for all.
+    """
 
     server: int
     zone: str
@@ -212,15 +215,20 @@
     state: ServerState = ServerState.READY
     size: float = 1.0
     started_ms: float = 0.0
+    name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class ServerList:
-    """Discovery's news. CHANGES alter the list held; FULL and CACHED replace it; FAILED has no entries."""
+    """Discovery's news. CHANGES alter the list held; FULL and CACHED replace it; FAILED has no entries.
+
+    ``listed`` is how many servers discovery names, where the entries are of the nearest of them alone.
+    """
 
     kind: ListKind
     entries: tuple[ServerEntry, ...] = ()
     version: int = 0
+    listed: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/brackenloft/logic.py
+++ b/brackenloft/logic.py
@@ -54,6 +54,7 @@
     TellOther,
     TimerFired,
 )
+from brackenloft.subset import Subset
 
 # Meter and slices
 THOUSANDTHS = 1000.0  # of a unit, the unit of the excess
@@ -159,11 +160,11 @@
 class Server:
     """What this gateway knows of one server."""
 
-    __slots__ = ("id", "zone", "cell", "ready", "listed", "started", "out", "ratio", "ratio_at",
+    __slots__ = ("id", "distance", "zone", "cell", "ready", "listed", "started", "out", "ratio", "ratio_at",
                  "queue", "queue_at", "marks")
 
-    def __init__(self, entry: ServerEntry) -> None:
-        self.id = entry.server
+    def __init__(self, entry: ServerEntry, distance: float) -> None:
+        self.id, self.distance = entry.server, distance
         self.out: set[tuple[str, int]] = set()  # attempts out
         self.reset()
         self.update(entry)
@@ -228,7 +229,11 @@
         self.marks: dict[str, Mark] = {}  # of all servers together, those of no class by zone
         self.quick: dict[str, dict[int, Server]] = {item.name: {} for item in settings.classes}
         self.sends = 0
+        self.subset, self.listed = Subset(settings.gateways, settings.index), 0
         self.ready: list[Server] = []
+        self.nearest: list[Server] = []  # all servers by distance, while none has come or gone
+        self.reserve: list[Server] = []  # ready servers beyond the subset, the nearest last
+        self.stood_in: set[int] = set()  # servers in doubt for which one of those works
         self.cold: list[Server] = []
         self.paired = False  # whether another process of this gateway has to hear of what is out
         self.barred: dict[int, float] = {}  # servers that operators took out, and since when
@@ -496,6 +501,7 @@
             fade = self._fade(then)
             marks[name] = (bad * fade + failed, seen * fade + 1.0, (self.now, self.sends))
         if failed and self._share_failed(server, key) >= DOUBTED:
+            self._stand_in(server)
             self._log_once(f"server {server.id} doubted{' for ' if key else ''}{key}: {why}")
 
     def _share_failed(self, server: Server, key: str) -> float:
@@ -855,14 +861,42 @@
             self._remove(id for id in list(self.servers) if id not in listed)
         for entry in event.entries:
             self._take_entry(entry)
+        self.listed = event.listed or len(self.servers)
         self._sort_servers()
         if event.kind is ListKind.CACHED or not self.pool:  # the list known at the start may be empty
-            self.pool = FIRST_LIMIT * len(self.servers) / self.settings.gateways
+            self.pool = FIRST_LIMIT * self.listed / self.settings.gateways
         self._retry_parked()
 
     def _sort_servers(self) -> None:
-        self.ready = [server for server in self.servers.values() if server.ready]
-        self.cold = [server for server in self.ready if self._warmth(server) < 1.0]
+        """Which of the servers that are ready are worked with: all, or in a large fleet the subset of them.
+
+        One more for each of the subset that is in doubt, see _stand_in.
+        """
+        size, self.reserve = self.subset.size(self.listed), []
+        if len(self.servers) <= size:
+            self.ready = [server for server in self.servers.values() if server.ready]
+        else:
+            if not self.nearest:
+                self.nearest = sorted(self.servers.values(), key=lambda server: server.distance)
+            ready = [server for server in self.nearest if server.ready]
+            self.ready, self.reserve = ready[:size], ready[:size - 1:-1]
+            self.stood_in = {server.id for server in self.ready if server.id in self.stood_in and any(
+                self._share_failed(server, key) >= DOUBTED for key in server.marks)}
+            for _ in range(min(len(self.stood_in), len(self.reserve))):
+                self.ready.append(self.reserve.pop())
+        self.cold = [server for server in self.ready if server.started > 0 and self._warmth(server) < 1.0]
+
+    def _stand_in(self, server: Server) -> None:
+        """One of the reserve works for a server that fails half of what it is sent, or is full.
+
+        Guards against a gateway whose part of the servers is down as a whole, unknown to discovery, while
+        others serve. It takes part until the first list after those in doubt have recovered.
+        """
+        if self.reserve and server.id not in self.stood_in:
+            self.stood_in.add(server.id)
+            self.ready.append(self.reserve.pop())
+            if self._warmth(self.ready[-1]) < 1.0:
+                self.cold.append(self.ready[-1])
 
     def _ask(self, kind: ListKind) -> None:
         """Subscribe at the start and after a failure; ask again well within the time the rules give."""
@@ -877,7 +911,9 @@
             self._remove([entry.server])
             return
         if server is None:
-            server = self.servers[entry.server] = Server(entry)
+            distance = self.subset.distance(entry.name or str(entry.server))
+            server = self.servers[entry.server] = Server(entry, distance)
+            self.nearest = []
         elif entry.started_ms > server.started:
             server.reset()
         server.update(entry)
@@ -888,6 +924,7 @@
             server = self.servers.pop(server_id, None)
             if server:
                 server.ready = False
+                self.nearest = []
 
     # ---- Operators
 
--- a/brackenloft/net/bans.py
+++ b/brackenloft/net/bans.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from brackenloft import interface as api
-from brackenloft.net.discovery import Roster
 from brackenloft.net.driver import Driver
 from brackenloft.net.handover import Handover
+from brackenloft.net.roster import Roster
 
 
 class Bans:
@@ -16,7 +16,7 @@
 
     def carry_out(self, name: str, out: bool, certain: bool = False) -> bool:
         """Here, for a server that is known, or certain as another process knows it; whether it was known."""
-        known = self.roster.find(name) is not None
+        known = self.roster.knows(name)
         if known or certain:
             number = self.roster.remember(name)
             (self.roster.barred.add if out else self.roster.barred.discard)(name)
--- a/brackenloft/net/discovery.py
+++ b/brackenloft/net/discovery.py
@@ -7,16 +7,15 @@
 import logging
 import random
 import re
-import socket
 from collections.abc import Callable
-from itertools import count
-from math import isfinite
 from typing import Any, cast
 
 import httptools
 
 from brackenloft import interface as api
+from brackenloft.net.roster import LongDocument, Roster
 from brackenloft.net.servers import Address
+from brackenloft.subset import Subset
 
 log = logging.getLogger(__name__)
 
@@ -31,124 +30,13 @@
 AGENT_S = 1.0  # the most where none was turned away: the agent is on this machine, asking it costs nobody,
 # and what it gets when discovery is back counts as told at once
 JITTER = 0.5  # share of that which is drawn at random
-LONGEST_LINE = 4 * 1024 * 1024
-MOST_ABSENT = 256  # servers that a list named before, whose numbers are remembered
-STATES = {
-    "Ready": api.ServerState.READY, "Terminating": api.ServerState.DRAINING, "Gone": api.ServerState.GONE,
-}
+LONG = 64 * 1024  # bytes of a document from which on it is read in pieces
+PIECE = 16 * 1024  # bytes of it that are read before the others have their turn, a hundred rows
 BEAT = object()  # an empty line: nothing has changed
 STRING, OPENING, CLOSING = re.compile(rb'"(?:[^"\\]|\\.)*"'), re.compile(rb"[{\[]"), re.compile(rb"[}\]]")
 News = Callable[[api.ServerList, dict[int, Address]], None]
 
 
-class Roster:
-    """Reads discovery's lists; servers get numbers, as the decisions know them."""
-
-    def __init__(self) -> None:
-        self.numbers: dict[str, int] = {}
-        self.absent: dict[str, int] = {}  # of servers that are listed no more, the latest last
-        self.barred: set[str] = set()  # servers that operators took out: their numbers are never forgotten
-        self.rows: dict[str, Any] = {}  # as discovery last gave them, of those that are listed
-        self.unused = count(1)  # never used for another: an attempt on a server that is gone may still be out
-
-    def find(self, name: str) -> int | None:
-        """The number of a server that is listed, or was."""
-        return self.numbers.get(name, self.absent.get(name))
-
-    def remember(self, name: str) -> int:
-        """The number of a server that another process of this gateway knows."""
-        number = self.find(name)
-        if number is None:
-            number = self.absent[name] = next(self.unused)
-        return number
-
-    def leave(self) -> dict[str, Any]:
-        """What a process that takes over has to know: the list, and which number stands for whom."""
-        return {"rows": list(self.rows.values()), "numbers": self.numbers, "absent": self.absent,
-                "barred": sorted(self.barred)}
-
-    def inherit(self, left: Any) -> dict[str, Any]:
-        """Take over what the process before has left; the list as a document. ValueError if malformed."""
-        try:
-            named = {str(name): int(number) for part in (left["numbers"], left["absent"])
-                     for name, number in part.items()}
-            rows, barred = list(left["rows"]), {str(name) for name in left["barred"]}
-        except (KeyError, TypeError, AttributeError) as error:
-            raise ValueError(f"the roster that was left is malformed: {error!r}") from error
-        if len(set(named.values())) != len(named) or not barred <= set(named):
-            raise ValueError("the roster that was left contradicts itself")
-        self.numbers, self.absent, self.barred = {}, named, barred  # the list takes its own out of these
-        self.unused = count(max(named.values(), default=0) + 1)
-        return {"generation": 0, "reset": True, "instances": rows}
-
-    def _leave(self, name: str) -> None:
-        self.rows.pop(name, None)
-        number = self.numbers.pop(name, None)
-        if number is None:
-            return
-        self.absent[name] = number
-        if len(self.absent) > MOST_ABSENT:
-            oldest = next((name for name in self.absent if name not in self.barred), None)
-            self.absent.pop(oldest or name)
-
-    def read(self, document: Any, known: bool = False) -> tuple[api.ServerList, dict[int, Address]]:
-        """A list and the addresses in it; raises ValueError, KeyError or TypeError if it is malformed."""
-        full, rows = known or bool(document["reset"]), list(document["instances"])
-        generation = int(document["generation"])
-        entries, addresses, read = [], {}, []
-        for row in rows:
-            try:
-                entry, address = self._entry(row)
-            except (ValueError, KeyError, TypeError, AttributeError, OverflowError, OSError) as error:
-                log.error("malformed row from discovery: %r in %.200r", error, row)
-                row = self._as_known(row)
-                if row is None:
-                    continue
-                entry, address = self._entry(row)
-            read.append(row)
-            entries.append(entry)
-            addresses[entry.server] = address
-        if rows and full and not read:
-            raise ValueError("no row can be read")
-        if full:
-            listed = {row["instanceId"] for row in read}
-            for name in [name for name in self.numbers if name not in listed]:
-                self._leave(name)
-        for row in read:
-            self.rows[row["instanceId"]] = row
-            if row["lifecycle"] == "Gone":
-                self._leave(row["instanceId"])
-        kind = api.ListKind.CACHED if known else api.ListKind.FULL if full else api.ListKind.CHANGES
-        return api.ServerList(kind, tuple(entries), generation), addresses
-
-    def _as_known(self, row: Any) -> dict[str, Any] | None:
-        """What was known of the server of a row that can't be read, if that can be told at all.
-
-        Guards against a whole list that is lost for one row of it, over and over, and with it all that
-        drains and starts; and against dropping a server whose row alone is spoilt.
-        """
-        name = row.get("instanceId") if isinstance(row, dict) else None
-        return self.rows.get(name) if isinstance(name, str) else None
-
-    def _entry(self, row: dict[str, Any]) -> tuple[api.ServerEntry, Address]:
-        """One row; everything in it is checked before its server gets a number."""
-        host, _, port = row["hostPort"].rpartition(":")
-        address = socket.inet_ntoa(socket.inet_aton(host)), int(port)
-        name, zone, kind = row["instanceId"], row["zone"], row.get("machineType") or ""
-        size, started = float(row.get("weight") or 1.0), float(row.get("startedAtMs") or 0.0)
-        state, cell = STATES[row["lifecycle"]], row.get("cell") or 0
-        if not (name and isinstance(name, str) and isinstance(zone, str) and isinstance(kind, str)
-                and isinstance(cell, int) and isfinite(size) and isfinite(started)
-                and 0 < address[1] < 1 << 16):
-            raise ValueError("a field is out of range")
-        number = self.numbers.get(name)
-        if number is None:
-            number = self.numbers[name] = self.absent.pop(name, 0) or next(self.unused)
-        entry = api.ServerEntry(
-            server=number, zone=zone, kind=kind, cell=cell, state=state, size=size, started_ms=started)
-        return entry, address
-
-
 class Documents:
     """Finds the JSON documents in what a watch brings: one a line, or indented over many.
 
@@ -175,12 +63,12 @@
         self.depth += len(OPENING.findall(bare)) - len(CLOSING.findall(bare))
         self.lines.append(line)
         self.size += len(line)
-        if self.depth > 0:
-            if self.size > LONGEST_LINE:
-                raise ValueError("a document without end")
-            return None
+        return None if self.depth > 0 else json.loads(self.give_up())
+
+    def give_up(self) -> bytes:
+        """All of the document so far, which is read elsewhere."""
         whole, self.lines, self.depth, self.size = b"\n".join(self.lines), [], 0, 0
-        return json.loads(whole)
+        return whole
 
 
 class Watch(asyncio.Protocol):
@@ -190,6 +78,10 @@
         self.feed, self.target = feed, target
         self.parser = httptools.HttpResponseParser(self)
         self.line, self.documents = bytearray(), Documents()
+        self.long: LongDocument | None = None  # while a document too long to be read at once is read
+        self.backlog = bytearray()  # what has come meanwhile
+        self.complete = self.lost = False  # nothing comes behind that, and the connection is gone
+        self.digesting: asyncio.Task[None] | None = None
         self.transport: asyncio.Transport | None = None
         self.silent: asyncio.TimerHandle | None = None
         self.ended = False
@@ -243,11 +135,18 @@
             self.close(f"status {status}")
 
     def on_body(self, body: bytes) -> None:
-        *lines, rest = (bytes(self.line) + body).split(b"\n")
-        self.line = bytearray(rest)
         if self.parser.get_status_code() != 200 or self.ended:
             return
-        for line in lines:
+        if self.long:
+            self.backlog += body
+            self._digest_on()
+        else:
+            self._read(body)
+
+    def _read(self, body: bytes) -> None:
+        *lines, rest = (bytes(self.line) + body).split(b"\n")
+        self.line = bytearray(rest)
+        for number, line in enumerate(lines):
             try:
                 document = self.documents.take(line)
             except ValueError as error:
@@ -257,13 +156,70 @@
                 self._heard(SILENT_S)
             if document is not None and document is not BEAT and not self.feed.take(document, self):
                 return
-        if len(self.line) > LONGEST_LINE:
-            self.close("a line without end")
+            if self.documents.size > LONG:
+                self._read_in_pieces(b"\n".join([self.documents.give_up(), *lines[number + 1:], rest]))
+                return
+        if len(self.line) + self.documents.size > LONG:
+            whole = self.documents.give_up()
+            self._read_in_pieces(b"\n".join([whole, rest]) if whole else rest)
+
+    def _read_in_pieces(self, begun: bytes) -> None:
+        """A long document has begun: guards against one long stall while all of it is read."""
+        self.line.clear()
+        self.backlog, self.long = bytearray(begun), LongDocument(self.feed.discovery.roster)
+        self._digest_on()
+
+    def _digest_on(self) -> None:
+        """Read what has come, and nothing beyond meanwhile: bytes may come faster than they are read."""
+        if self.digesting is None:
+            if self.transport:
+                self.transport.pause_reading()
+            self.digesting = asyncio.get_running_loop().create_task(self._digest())
+
+    async def _digest(self) -> None:
+        try:
+            while self.long and self.backlog and not self.ended:
+                await self._digest_some(self.long)
+        except ValueError as error:
+            self.feed.malformed(error, self)
+        self.digesting = None
+        if self.complete:
+            self.close("the answer is complete")
+        if self.lost:
+            self.connection_lost(None)
+        elif not self.ended and self.transport:
+            self.transport.resume_reading()
+
+    async def _digest_some(self, long: LongDocument) -> None:
+        """One piece; behind the last one, what the document tells is passed on, some at a time."""
+        piece, rows = bytes(self.backlog[:PIECE]), long.rows
+        del self.backlog[:PIECE]
+        behind = long.take(piece)
+        if long.rows > rows:
+            self._heard(SILENT_S)
+        await asyncio.sleep(0)
+        if behind is None:
+            return
+        for listing, addresses in long.news():
+            if self.ended:
+                return
+            self.feed.pass_on(listing, addresses)
+            self._heard(SILENT_S)
+            await asyncio.sleep(0)
+        self.long, rest = None, behind + bytes(self.backlog)
+        self.backlog.clear()
+        if self.feed.has_read(long.generation, long.is_whole_list, self):
+            self._read(rest)
 
     def on_message_complete(self) -> None:
-        self.close("the answer is complete")
+        self.complete = True
+        if self.digesting is None:
+            self.close("the answer is complete")
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+        if self.digesting:
+            return  # what has come is read first, and this is called again
         if self.silent:
             self.silent.cancel()
         if not self.done.done():
@@ -290,10 +246,25 @@
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             self.malformed(error, watch)
             return False
-        self.backoff_s = BACKOFF_S[0]
-        self.generation, self.spoken = listing.version, True
+        self.pass_on(listing, addresses)
+        return self.has_read(listing.version, listing.kind is api.ListKind.FULL, watch)
+
+    def pass_on(self, listing: api.ServerList, addresses: dict[int, Address]) -> None:
+        """What a document tells, or a part of that."""
         self.discovery.spoke(self, listing, addresses)
-        return True
+
+    def has_read(self, generation: int, is_whole_list: bool, watch: Watch) -> bool:
+        """A document has been read to its end; whether the watch goes on.
+
+        Where too many of the nearest have gone, the whole list is asked for: it alone tells who follows them.
+        """
+        self.backoff_s = BACKOFF_S[0]
+        self.generation, self.spoken = generation, True
+        if is_whole_list or not self.discovery.roster.used_up():
+            return True
+        self.generation = None
+        watch.close("the nearest servers are used up")
+        return False
 
     def malformed(self, error: Exception, watch: Watch) -> None:
         """What can't be read is logged, what is known stays, and the whole list is asked for."""
@@ -346,8 +317,8 @@
 class Discovery:
     """What discovery says, from the address that was named last and has spoken."""
 
-    def __init__(self, news: News, seed: int) -> None:
-        self.news, self.roster, self.random = news, Roster(), random.Random(seed)
+    def __init__(self, news: News, seed: int, subset: Subset | None = None) -> None:
+        self.news, self.roster, self.random = news, Roster(subset), random.Random(seed)
         self.on_unheard: Callable[[], None] = lambda: None  # a watch ended before it had said anything
         self.feed: Feed | None = None
         self.next: Feed | None = None  # named last, has not spoken yet
--- /dev/null
+++ b/tests/test_long_lists.py
@@ -0,0 +1,353 @@
+"""Lists of any length: read in pieces, a subset of them worked with, news at the cost of the change."""
+
+import asyncio
+import json
+from dataclasses import replace
+
+import pytest
+from conftest import SETTINGS, Rig
+from fakes import FakeDiscovery, FakeServer, call, chunk, listing, node, row, run, until
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brackenloft import ListKind, Outcome, Request, Send, ServerEntry, ServerList, ServerState, Status
+from brackenloft.net import discovery as module
+from brackenloft.net import roster as roster_module
+from brackenloft.net.discovery import Discovery
+from brackenloft.net.roster import LongDocument, Roster
+from brackenloft.subset import Subset
+
+FLEET, SERVERS, SIZE = 3800, 38_000, 256
+FEW = Subset(380, 17, least=16)  # of a fleet that is large beside so few servers
+
+
+def rows(*numbers: int, **more):
+    return [row(f"s-{number:06d}", 1 + number % 60_000, **more) for number in numbers]
+
+
+def follow(subset: Subset, port: int):
+    """A watch and what it has been told: each server's state by name, as changes add up."""
+    known: dict[str, ServerState] = {}
+    news: asyncio.Queue[ServerList] = asyncio.Queue()
+
+    def take(told, addresses):
+        if told.kind is not ListKind.CHANGES:
+            known.clear()
+        for entry in told.entries:
+            known[entry.name] = entry.state
+            if entry.state is ServerState.GONE:
+                del known[entry.name]
+            else:
+                assert addresses[entry.server]
+        news.put_nowait(told)
+
+    discovery = Discovery(take, 1, subset)
+    discovery.watch(("127.0.0.1", port))
+    return discovery, known, news
+
+
+async def read_up(discovery: Discovery, generation: int) -> int:
+    """Wait until this version has been read; how many turns others have had meanwhile."""
+    turns = 0
+    async with asyncio.timeout(30.0):
+        while not (discovery.feed and discovery.feed.generation == generation):
+            await asyncio.sleep(0)
+            turns += 1
+    return turns
+
+
+def nearest(subset: Subset, names, most: int) -> set[str]:
+    return set(sorted(names, key=subset.distance)[:most])
+
+
+def test_list_of_a_large_fleet_is_heard_in_pieces_and_its_nearest_servers_are_known():
+    async def test():
+        fake = await FakeDiscovery().start()
+        subset = Subset(FLEET, 17)
+        discovery, known, _ = follow(subset, fake.port)
+        _, watch = await fake.watch()
+        whole = listing(7, *rows(*range(SERVERS)), reset=True)
+        watch.write(chunk(whole))
+        turns = await read_up(discovery, 7)
+        assert turns >= len(whole) / module.PIECE  # the others have had a turn after each piece
+        names = [line["instanceId"] for line in rows(*range(SERVERS))]
+        assert set(known) == nearest(subset, names, 2 * SIZE) == set(discovery.roster.rows)
+        # a server that is not near costs its name: no row, no number, nothing told
+        assert len(discovery.roster.others) == SERVERS - 2 * SIZE
+        assert len(discovery.roster.numbers) == 2 * SIZE
+        watch.write(chunk(listing(8, *rows(SERVERS + 1, *range(0, 200)))))
+        await read_up(discovery, 8)
+        assert len(known) == 2 * SIZE and fake.targets.empty()
+        discovery.end()
+
+    run(test())
+
+
+def test_whole_list_that_comes_in_the_middle_replaces_what_was_known_though_it_is_told_in_parts():
+    async def test():
+        fake = await FakeDiscovery().start()
+        discovery, known, _ = follow(FEW, fake.port)
+        _, watch = await fake.watch()
+        watch.write(chunk(listing(1, *rows(*range(1000)), reset=True)))
+        await read_up(discovery, 1)
+        before = set(known)
+        watch.write(chunk(listing(2, *rows(*range(500, 1500)), reset=True)) + chunk(b"\n"))
+        watch.write(chunk(listing(3, *rows(700, 701, state="Terminating"))))
+        await read_up(discovery, 3)
+        names = [line["instanceId"] for line in rows(*range(500, 1500))]
+        size = FEW.size(1000)
+        assert nearest(FEW, names, size) <= set(known) <= set(names) and len(known) == 2 * size
+        assert before != set(known)
+        assert discovery.roster.nearest.listed == 1000
+        discovery.end()
+
+    run(test())
+
+
+def test_connection_that_breaks_within_a_long_list_loses_nothing_and_the_list_is_asked_for_again():
+    async def test():
+        fake = await FakeDiscovery().start()
+        discovery, known, _ = follow(FEW, fake.port)
+        _, watch = await fake.watch()
+        watch.write(chunk(listing(1, *rows(*range(1000)), reset=True)))
+        await read_up(discovery, 1)
+        before = dict(known)
+        watch.write(chunk(listing(2, *rows(*range(5000, 7000)), reset=True)[:-1000]))
+        await watch.drain()
+        watch.close()
+        target, watch = await fake.watch()
+        assert target == "/discovery/hosts?watch=1&from=1" and known == before
+        # an answer that is complete with its list is read to its end
+        watch.write(chunk(listing(2, *rows(*range(5000, 7000)), reset=True)) + b"0\r\n\r\n")
+        await read_up(discovery, 2)
+        assert not set(known) & set(before) and len(known) >= 2 * FEW.size(2000) - 2
+        discovery.end()
+
+    run(test())
+
+
+@pytest.mark.parametrize("bad", [
+    b'{"generation":2,"reset":true,"instances":[' + b'{"instanceId":"' + b"x" * 200_000,
+    b'{"generation":2,"reset":true,"instances":[' + b"[" * 100_000,
+    b'{"generation":2,"reset":true,"instances":' + b" " * 100_000 + b"7}\n",
+    b"[" + b" " * 100_000 + b"]\n", b" " * 200_000, b'{"a":' + b'{"a":' * 40_000,
+    b'{"reset":true,"instances":[' + b",".join([b"7"] * 50_000) + b"]}\n",
+    b'{"generation":2,\n"reset":true,\n"instances":[\n' + b" \t{}," * 20_000 + b"\n\n",
+])
+def test_long_document_that_can_not_be_read_is_given_up_and_what_was_known_stays(bad):
+    async def test():
+        fake = await FakeDiscovery().start()
+        discovery, known, _ = follow(FEW, fake.port)
+        _, watch = await fake.watch()
+        watch.write(chunk(listing(1, *rows(*range(1000)), reset=True)))
+        await read_up(discovery, 1)
+        before = dict(known)
+        watch.write(chunk(bad))
+        target, watch = await fake.watch()
+        assert target == "/discovery/hosts?watch=1" and known == before
+        discovery.end()
+
+    run(test())
+
+
+def test_rows_without_end_are_given_up_within_a_bound_on_memory(monkeypatch):
+    monkeypatch.setattr(roster_module, "MOST_LISTED", 2000)
+    long = LongDocument(Roster(FEW))
+    with pytest.raises(ValueError):
+        long.take(b'{"generation":2,"reset":true,"instances":[' + b",".join(
+            json.dumps(line).encode() for line in rows(*range(3000))))
+    assert len(long.reading.others) <= 2001
+
+
+NUMBERS = st.integers(0, 120)
+ODD = st.sampled_from([{}, {}, {}, {"lifecycle": "Terminating"}, {"lifecycle": "Gone"}, {"hostPort": None},
+                       {"lifecycle": "Odd"}, {"cell": "x"}, {"instanceId": 7}, {"instanceId": ""}])
+ROWS = st.lists(st.tuples(NUMBERS, ODD), max_size=150)
+DOCUMENTS = st.lists(st.tuples(st.booleans(), ROWS), min_size=1, max_size=5)
+
+
+def told_in_parts(roster: Roster, document, indent, cut: int):
+    """What a long document tells, read in pieces of so many bytes; None if it is malformed."""
+    long, text = LongDocument(roster), json.dumps(document, indent=indent).encode() + b"\nrest"
+    try:
+        for at in range(0, len(text), cut):
+            if (behind := long.take(text[at:at + cut])) is not None:
+                break
+        assert behind is not None and b"rest".startswith(behind)
+        news = [listing for listing, _ in long.news()]
+    except ValueError:
+        return None
+    return [entry for told in news for entry in told.entries]
+
+
+@settings(deadline=None, max_examples=60)
+@given(DOCUMENTS, st.sampled_from([None, 2]), st.integers(1, 400))
+def test_list_read_in_pieces_comes_to_the_same_as_one_read_at_once(documents, indent, cut):
+    at_once, in_pieces, known = Roster(FEW), Roster(FEW), {}
+    for generation, (reset, drawn) in enumerate(documents):
+        lines = [{**rows(number)[0], **odd} for number, odd in drawn]
+        document = {"generation": generation, "reset": reset, "instances": lines}
+        told = told_in_parts(in_pieces, document, indent, cut)
+        try:
+            listing, _ = at_once.read(document)
+        except ValueError:
+            assert told is None
+            return
+        assert told is not None and listing.version == generation
+        for entry in told:
+            known[entry.name] = entry.state
+        assert in_pieces.rows == at_once.rows and list(in_pieces.nearest) == list(at_once.nearest)
+        assert in_pieces.others == at_once.others and set(in_pieces.rows) == set(in_pieces.nearest)
+        assert in_pieces.nearest.listed == len(in_pieces.rows) + len(in_pieces.others)
+        left = {name for name, state in known.items() if state is not ServerState.GONE}
+        assert left == set(in_pieces.rows) == set(in_pieces.numbers)
+    at_once_names = at_once.others | set(at_once.rows)
+    if not at_once.used_up():
+        size = FEW.size(len(at_once_names))
+        assert set(list(at_once.nearest)[:size]) == nearest(FEW, at_once_names, size)
+
+
+def test_once_too_many_of_the_nearest_have_gone_the_whole_list_is_asked_for():
+    async def test():
+        fake = await FakeDiscovery().start()
+        discovery, known, _ = follow(FEW, fake.port)
+        _, watch = await fake.watch()
+        watch.write(chunk(listing(1, *rows(*range(1000)), reset=True)))
+        await read_up(discovery, 1)
+        near = [int(name[2:]) for name in discovery.roster.nearest]
+        gone = near[:FEW.size(1000) + 1]
+        watch.write(chunk(listing(2, *rows(*gone, state="Gone"))))
+        target, watch = await fake.watch()
+        assert target == "/discovery/hosts?watch=1"
+        left = sorted(set(range(1000)) - set(gone))
+        watch.write(chunk(listing(2, *rows(*left), reset=True)))
+        await read_up(discovery, 2)
+        names = [line["instanceId"] for line in rows(*left)]
+        assert nearest(FEW, names, FEW.size(len(left))) <= set(known) and not discovery.roster.used_up()
+        discovery.end()
+
+    run(test())
+
+
+def test_server_of_which_no_row_is_kept_is_known_to_operators_and_keeps_its_number_when_it_is_near():
+    roster = Roster(FEW)
+    roster.read({"generation": 1, "reset": True, "instances": rows(*range(1000))})
+    name = sorted(roster.others, key=FEW.distance)[0]
+    assert roster.knows(name) and roster.find(name) is None and not roster.knows("s-none")
+    number = roster.remember(name)
+    gone = [int(near[2:]) for near in list(roster.nearest)[:3]]
+    roster.read({"generation": 2, "reset": True, "instances": rows(*sorted(set(range(1000)) - set(gone)))})
+    assert roster.numbers[name] == number
+
+
+# ---- The decisions
+
+LARGE = replace(SETTINGS, gateways=FLEET, index=17)
+
+
+def entries(count: int, **more) -> list[ServerEntry]:
+    numbers = range(1, count + 1)
+    return [ServerEntry(number, "a", name=f"s-{number}", **more) for number in numbers]
+
+
+def large_rig(count: int = 2 * SIZE) -> tuple[Rig, list[int]]:
+    """A gateway of a large fleet that knows so many servers, and their numbers, the nearest first."""
+    rig = Rig(LARGE)
+    known = entries(count)
+    rig.do(ServerList(ListKind.FULL, tuple(known), 1, SERVERS))
+    rig.gateway.pool = 1e9
+    order = sorted(known, key=lambda entry: rig.gateway.subset.distance(entry.name))
+    return rig, [entry.server for entry in order]
+
+
+def ready(rig: Rig) -> set[int]:
+    return {server.id for server in rig.gateway.ready}
+
+
+def test_gateway_of_a_large_fleet_works_with_the_nearest_ready_servers_alone():
+    rig, order = large_rig()
+    assert ready(rig) == set(order[:SIZE])
+    drained = order[3:10]
+    rig.servers(*(ServerEntry(number, "a", state=ServerState.DRAINING) for number in drained),
+                kind=ListKind.CHANGES)
+    rig.gateway.listed = SERVERS
+    rig.do(ServerList(ListKind.CHANGES, (), 2, SERVERS))
+    assert ready(rig) == set(order[:SIZE + 7]) - set(drained)
+    assert rig.gateway.reserve[-1].id == order[SIZE + 7]
+
+
+def test_gateway_where_all_servers_fit_works_with_all_of_them():
+    rig = Rig(replace(SETTINGS, gateways=200, index=17))
+    rig.do(ServerList(ListKind.FULL, tuple(entries(200))))
+    assert len(rig.gateway.ready) == 200 and not rig.gateway.reserve
+
+
+def test_share_of_what_may_be_out_goes_by_all_servers_listed_not_by_those_that_are_known():
+    rig = Rig(LARGE)
+    rig.do(ServerList(ListKind.CACHED, tuple(entries(2 * SIZE)), 1, SERVERS))
+    assert rig.gateway.pool == pytest.approx(6.0 * SERVERS / FLEET)
+
+
+def fail(rig: Rig, server: int) -> None:
+    """Requests that go to this server fail there, until it is in doubt."""
+    gateway = rig.gateway
+    gateway.ready, before = [s for s in gateway.ready if s.id == server], gateway.ready
+    for _ in range(4):
+        rig.count += 1
+        name = f"f{rig.count}"
+        sent = [a for a in rig.do(Request(name, "unsafe", "free", "c", 4000.0)) if isinstance(a, Send)]
+        assert [a.server for a in sent] == [server]
+        rest, gateway.ready = gateway.ready, before  # another may have come to stand in
+        rig.do(Outcome(name, 0, server, Status.RESET, 10.0))
+        before = gateway.ready
+        gateway.ready = rest if rest is not before else [s for s in before if s.id == server]
+    gateway.ready = before
+
+
+def test_for_each_server_of_the_subset_that_is_down_unknown_to_discovery_one_of_the_reserve_works():
+    rig, order = large_rig()
+    for server in order[:5]:
+        fail(rig, server)
+    assert ready(rig) == set(order[:SIZE + 5])
+    rig.do(ServerList(ListKind.CHANGES, (), 2, SERVERS))  # some news: they stay as long as the doubt does
+    assert ready(rig) == set(order[:SIZE + 5])
+    rig.run(60_000.0)
+    for _ in range(100):  # the others are well
+        rig.finish(rig.ask(class_name="unsafe"))
+    rig.gateway.sends += 100 * len(order)  # each might have been met again since
+    rig.do(ServerList(ListKind.CHANGES, (), 3, SERVERS))
+    assert ready(rig) == set(order[:SIZE])
+
+
+def test_gateway_whose_whole_subset_hangs_up_still_serves_by_its_reserve():
+    rig, order = large_rig()
+    down, served = set(order[:SIZE]), 0
+    for _ in range(1500):
+        name = rig.ask(patience=60_000.0)
+        while name not in rig.answers and rig.sent.get(name):
+            server = rig.sent[name][-1]
+            rig.finish(name, Status.CONNECT_FAILED if server in down else Status.OK)
+            served += rig.answers.get(name) == "Ok"
+            if server in down and len(rig.sent[name]) == LARGE.limits.max_attempts:
+                break
+        rig.run(5.0)
+    assert served >= 1000
+
+
+def test_answer_of_a_server_that_leaves_the_subset_meanwhile_is_served_and_further_attempts_go_elsewhere():
+    async def test():
+        slow, other = FakeServer(lambda words: None), FakeServer()
+        async with node(slow) as gateway:
+            peer = await gateway.peer()
+            peer.send(call(1))
+            await slow.until(lambda: len(slow.commands) == 1)
+            await other.start()
+            gone = replace(slow.entry(1)[0], state=ServerState.GONE), ("", 0)  # others are nearer now
+            gateway.told(gone, other.entry(2), kind=ListKind.CHANGES)
+            assert await (await gateway.peer()).ask(call(2)) == b"0000000000000002"
+            slow.writers[0].write(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+            assert await peer.reply() == b"v"
+            assert len(slow.commands) == 1
+            await until(lambda: not gateway.driver.calls)
+
+    run(test())
