--- a/scale/__init__.py
+++ b/scale/__init__.py
@@ -1,1 +1,1 @@
-"""The scale run: what a fleet costs, measured beside the gateway."""
+"""The scale run: real and hollow gateways, discovery, servers and load on loopback, and what they cost."""
--- /dev/null
+++ b/scale/hollow.py
@@ -0,0 +1,187 @@
+"""Hollow gateways: the watch and the decisions of a real one without clients, many to a process.
+
+Beside them two measures that are taken inside a process: how long the loop stands still while news is
+read, and what the decisions alone cost by servers, customers and routes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import heapq
+import logging
+import time
+from collections import Counter
+from dataclasses import replace
+from itertools import count
+from typing import Any
+
+import psutil
+
+from brackenloft import interface as api
+from brackenloft.logic import Gateway
+from brackenloft.net.discovery import Discovery, Roster
+from brackenloft.net.driver import Clock, Driver
+from brackenloft.net.servers import Address, Servers
+from brackenloft.settings import settings_from
+
+DESCRIPTORS, HELD = 64, 1 << 20
+START_GAP_S = 0.002  # between two that start
+LATENCY_MS = 5.0  # of a server, as the decisions are told
+NS_PER_MS = 1e6
+logging.getLogger("brackenloft").setLevel(logging.CRITICAL)  # a fleet without its watches would fill the log
+
+
+class Versions(Roster):
+    """A roster that keeps nothing but the version: for gateways that only hold the watch."""
+
+    def read(self, document: Any, known: bool = False) -> tuple[api.ServerList, dict[int, Address]]:
+        return api.ServerList(api.ListKind.CHANGES, (), int(document["generation"])), {}
+
+
+class Hollow:
+    """One hollow gateway; notes when each version was in force, on the monotonic clock."""
+
+    def __init__(self, settings: api.Settings | None, seed: int) -> None:
+        self.driver: Driver | None = None
+        self.discovery = Discovery(self._news, seed)
+        if settings is None:
+            self.discovery.roster = Versions()
+        else:
+            self.servers = Servers(settings, DESCRIPTORS, HELD)
+            self.driver = Driver(Gateway(settings, seed), self.servers, Clock())
+        self.heard: list[tuple[int, float]] = []
+
+    def _news(self, listing: api.ServerList, addresses: dict[int, Address]) -> None:
+        if self.driver:
+            self.servers.update(listing, addresses)
+            self.driver.post(listing)
+        self.heard.append((listing.version, time.monotonic()))
+
+
+class Probe:
+    """How long the loop did not turn, at most: wall time, and the processor time of its thread, both in ms.
+
+    It turns the loop all the time it is on. Where others use the machine too, the processor time is what
+    the loop itself was held by.
+    """
+
+    def __init__(self) -> None:
+        self.on = False
+        self.wall_ns = self.cpu_ns = 0
+
+    def begin(self) -> None:
+        """Watch from now on."""
+        self.on, self.wall_ns, self.cpu_ns = True, 0, 0
+        self._turn(time.monotonic_ns(), time.thread_time_ns())
+
+    def _turn(self, wall: int, cpu: int) -> None:
+        now, spent = time.monotonic_ns(), time.thread_time_ns()
+        self.wall_ns, self.cpu_ns = max(self.wall_ns, now - wall), max(self.cpu_ns, spent - cpu)
+        if self.on:
+            asyncio.get_running_loop().call_soon(self._turn, now, spent)
+
+    def end(self) -> dict[str, float]:
+        """Stop; the longest stalls."""
+        self.on = False
+        return {"wall_ms": self.wall_ns / NS_PER_MS, "cpu_ms": self.cpu_ns / NS_PER_MS}
+
+
+class Hollows:
+    """Many hollow gateways. The role of a child; its methods are the parent's calls."""
+
+    def __init__(self, document: dict[str, Any], kind: str, first: int, number: int) -> None:
+        settings = settings_from(document)
+        self.all = [
+            Hollow(replace(settings, index=index % settings.gateways) if kind == "gateway" else None, index)
+            for index in range(first, first + number)]
+        self.probe = Probe()
+
+    async def start(self) -> None:
+        """Nothing to listen on."""
+
+    async def watch(self, port: int) -> None:
+        """Begin all watches, a little apart."""
+        for hollow in self.all:
+            hollow.discovery.watch(("127.0.0.1", port))
+            await asyncio.sleep(START_GAP_S)
+
+    async def heard(self, version: int, within_s: float) -> dict[str, Any]:
+        """How many have this version or a later one by then; it returns as soon as all have."""
+        until = time.monotonic() + within_s
+        while (have := self._have(version)) < len(self.all) and time.monotonic() < until:
+            await asyncio.sleep(0.05)
+        return {"have": have, "of": len(self.all)}
+
+    def _have(self, version: int) -> int:
+        return sum(bool(hollow.heard) and hollow.heard[-1][0] >= version for hollow in self.all)
+
+    async def told(self) -> dict[str, Any]:
+        """For each gateway what it heard since the last call: versions, and when each was in force, in s."""
+        heard = [hollow.heard for hollow in self.all]
+        for hollow in self.all:
+            hollow.heard = hollow.heard[-1:]
+        return {"heard": heard}
+
+    async def probe_begin(self) -> None:
+        """Watch the loop from now on."""
+        self.probe.begin()
+
+    async def probe_end(self) -> dict[str, float]:
+        """The longest stalls since then."""
+        return self.probe.end()
+
+
+class Module:
+    """The decisions alone, without sockets, on a clock of their own. The role of a child."""
+
+    def __init__(self, document: dict[str, Any], servers: int) -> None:
+        self.process = psutil.Process()
+        gc.collect()
+        self.settings = settings_from(document)
+        self.gateway = Gateway(self.settings, 1)
+        self.now, self.order = 0.0, count()
+        self.due: list[tuple[float, int, api.Event]] = []
+        self.results: Counter[str] = Counter()
+        self._handle(api.ServerList(api.ListKind.FULL, tuple(
+            api.ServerEntry(number, self.settings.zone) for number in range(1, servers + 1)), 1))
+
+    async def start(self) -> None:
+        """Nothing to listen on."""
+
+    async def ask(self, tenants: int, requests: int, gap_ms: float) -> dict[str, Any]:
+        """So many requests of so many customers by turns, over all classes and plans; what they cost.
+
+        Processor time in microseconds a request, growth of the resident memory in bytes, what became of them.
+        """
+        gc.collect()
+        memory, spent = self.process.memory_info().rss, time.thread_time()
+        routes = [(kind.name, plan.name) for kind in self.settings.classes for plan in self.settings.plans]
+        for number in range(requests):
+            self._until(self.now + gap_ms)
+            kind, plan = routes[number % len(routes)]
+            self._handle(api.Request(f"r{number}", kind, plan, f"{number % tenants:016x}", 1000.0))
+        self._until(self.now + 10 * LATENCY_MS)
+        spent = time.thread_time() - spent
+        gc.collect()
+        return {"cpu_us": 1e6 * spent / requests, "memory": self.process.memory_info().rss - memory,
+                "results": dict(self.results)}
+
+    def _until(self, end: float) -> None:
+        while self.due and self.due[0][0] <= end:
+            at, _, event = heapq.heappop(self.due)
+            self.now = max(self.now, at)
+            self._handle(event)
+        self.now = end
+
+    def _handle(self, event: api.Event) -> None:
+        for action in self.gateway.handle(self.now, event):
+            self.results[type(action).__name__] += 1
+            if isinstance(action, api.SetTimer):
+                self._at(action.delay_ms, api.TimerFired(action.token))
+            elif isinstance(action, api.Send):
+                self._at(LATENCY_MS, api.Outcome(
+                    action.request_id, 0, action.server, api.Status.OK, LATENCY_MS, True))
+
+    def _at(self, delay_ms: float, event: api.Event) -> None:
+        heapq.heappush(self.due, (self.now + delay_ms, next(self.order), event))
