Scale run: load at hollow gateways, connections by real ones, customers held; children end in every case

- Hollow gateways take requests without clients' sockets, by the project's own driver and connections to the stand-in servers, so that a play's load on servers is the fleet's (`load.hollow_rate`).
They stand in all zones.
A measured gateway starts with the list it is measured at: what it may have out goes by its first list, and one that began with a single server refused up to a third of the load.
- Another signal or the deadline in the middle of ending the children cut that short and could leave some; they are ended first now.
A gateway that never got ready was told as the run's deadline.
- Discovery made the chunk of a whole list anew for each watch: thousands of watches at once, gigabytes.
- Tests: a run beyond its deadline, memory or processes is cut short, leaves a result and no child.

--- a/scale/child.py
+++ b/scale/child.py
@@ -46,7 +46,7 @@
                 answer = {"answer": await made.start()}
             else:
                 answer = {"answer": await getattr(made, call.name)(**call.arguments)}
-        except Exception as error:  # noqa: BLE001: told to the parent, which ends the run
+        except Exception as error:  # told to the parent, which ends the run
             answer = {"error": repr(error)}
         sys.stdout.buffer.write(msgspec.json.encode(answer) + b"\n")
         sys.stdout.buffer.flush()
--- a/scale/config.py
+++ b/scale/config.py
@@ -58,6 +58,7 @@
     phases: Some = 2  # of each, by turns
     tenants: Some = 2_000
     skew: NotNegative = 1.1
+    hollow_rate: NotNegative = 0.5  # requests/s at each hollow gateway, in a play
     service_ms: Positive = 5.0
     deadline_ms: Positive = 2_000.0
 
@@ -76,9 +77,10 @@
 
     lists: Sizes = msgspec.field(default_factory=lambda: [200, 1_000, 2_000, 4_000])
     changes: Sizes = msgspec.field(default_factory=lambda: [1, 10, 100, 400])
-    tenants: Sizes = msgspec.field(default_factory=lambda: [500, 1_000, 2_000, 4_000])
-    routes: Sizes = msgspec.field(default_factory=lambda: [4, 16, 64, 256])
+    tenants: Sizes = msgspec.field(default_factory=lambda: [2_000, 4_000, 8_000, 16_000])
+    routes: Sizes = msgspec.field(default_factory=lambda: [64, 256, 1_024, 4_096])
     fleets: Sizes = msgspec.field(default_factory=lambda: [25, 50, 100, 200])
+    reals: Sizes = msgspec.field(default_factory=lambda: [1, 2, 3, 4])
     rates: Sizes = msgspec.field(default_factory=lambda: [25, 50, 100, 200])
     repeats: Annotated[int, msgspec.Meta(ge=1, le=20)] = 3
     versions: Annotated[int, msgspec.Meta(ge=1, le=1_000)] = 20  # of one row each, published one by one
--- a/scale/discovery.py
+++ b/scale/discovery.py
@@ -86,7 +86,7 @@
             self.watching = True
             self.standin.counts["watches"] += 1
             self.transport.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
-            self._send(self.standin.line(self.version), "first")
+            self._send(self.standin.chunk(self.version), "first")
             self._beat()
         else:
             whole = self.standin.catalogue.whole()
@@ -97,11 +97,10 @@
         """Bring a watch up to date; one that takes no more is told when it does."""
         behind = self.watching and self.version != self.standin.catalogue.version
         if behind and not self.full and not self.standin.silent:
-            self._send(self.standin.line(self.version), "change")
+            self._send(self.standin.chunk(self.version), "change")
 
-    def _send(self, line: bytes, kind: str) -> None:
+    def _send(self, chunk: bytes, kind: str) -> None:
         assert self.transport
-        chunk = b"%x\r\n%b\r\n" % (len(line), line)
         self.standin.counts[f"{kind}_bytes"] += len(chunk)
         self.standin.counts[f"{kind}_lines"] += 1
         self.version, self.written_s = self.standin.catalogue.version, time.monotonic()
@@ -133,7 +132,7 @@
         self.counts: Counter[str] = Counter()
         self.published: dict[int, float] = {}  # when each version could first be read, on the monotonic clock
         self.replaced = 0  # servers that came in the place of others
-        self._lines: tuple[int, dict[int | None, bytes]] = (-1, {})
+        self._chunks: tuple[int, dict[int | None, bytes]] = (-1, {})
         self._plays: set[asyncio.Task[None]] = set()
 
     async def start(self) -> int:
@@ -142,14 +141,18 @@
         self.server = await loop.create_server(lambda: Exchange(self), "127.0.0.1", 0, backlog=BACKLOG)
         return int(self.server.sockets[0].getsockname()[1])
 
-    def line(self, version: int | None) -> bytes:
-        """What a gateway that has this version is sent; made once for all that have it."""
-        if self._lines[0] != self.catalogue.version:
-            self._lines = self.catalogue.version, {}
-        lines = self._lines[1]
-        if version not in lines:
-            lines[version] = self.catalogue.after(version)
-        return lines[version]
+    def chunk(self, version: int | None) -> bytes:
+        """What a gateway that has this version is sent, as a chunk; made once for all that have it.
+
+        Guards against a list of its own in memory for each of thousands of watches.
+        """
+        if self._chunks[0] != self.catalogue.version:
+            self._chunks = self.catalogue.version, {}
+        chunks = self._chunks[1]
+        if version not in chunks:
+            line = self.catalogue.after(version)
+            chunks[version] = b"%x\r\n%b\r\n" % (len(line), line)
+        return chunks[version]
 
     def publish(self, changed: list[Row]) -> int:
         """A new version with these rows; told to all watches at once."""
--- a/scale/gateways.py
+++ b/scale/gateways.py
@@ -11,15 +11,15 @@
 from pathlib import Path
 from typing import Any
 
-from scale.processes import ROOT, Children, Process
+from scale.processes import ROOT, ChildError, Children, Process
 
 START_S = 30.0  # until it answers PING
 MEMORY_MB, DESCRIPTORS = 192, 1024  # DEPLOY: at most so much on the scored days
 SETTLED_S, SETTLED_CPU_S = 0.6, 0.015  # that long with no more than so much processor time: it has read all
 
 
-def document(gateways: int, index: int, zone: str, classes: int = 1, plans: int = 1) -> dict[str, Any]:
-    """The settings object (DEPLOY, PROTOCOL): so many safe classes, so many plans without a quota."""
+def document(gateways: int, index: int, zone: str, classes: int = 1, quota: float = 0.0) -> dict[str, Any]:
+    """The settings object (DEPLOY): so many safe classes, a plan of so many units a second, or a free one."""
     return {
         "balancers": gateways, "slot_no": index, "locality": zone, "discovery": "automatic", "tick_ms": 2.0,
         "services": [
@@ -27,9 +27,8 @@
              "value": 1.0, "late_share": 0.0, "key_scope": "all", "memory_span_ms": 5000.0, "stream": False}
             for number in range(classes)],
         "tariffs": [
-            {"name": f"plan-{number}", "refill": 0.0, "most_at_once": 0.0, "parallel": 0, "value_factor": 1.0,
-             "excess_worth": 0.0, "overrun_cost": 1.0, "cap_rate": 0.0, "cap_depth": 0.0, "hard_slack": 0.0}
-            for number in range(plans)],
+            {"name": "plan", "refill": quota, "most_at_once": quota, "parallel": 0, "value_factor": 1.0,
+             "excess_worth": 0.0, "overrun_cost": 1.0, "cap_rate": 0.0, "cap_depth": 0.0, "hard_slack": 0.0}],
         "limits": {"attempts_cap": 3, "may_duplicate": False, "cancelling": True, "probes": False,
                    "peers": False, "retry_after": True, "open_cap": 1000, "connect_timeout_ms": 250.0,
                    "max_retry_after_ms": 1000.0},
@@ -62,11 +61,12 @@
         self.process, self.port, self.log = process, port, log
 
     async def ready(self) -> float:
-        """Wait until it answers PING; the seconds that took. TimeoutError after START_S."""
+        """Wait until it answers PING; the seconds that took. ChildError after START_S."""
         start = time.monotonic()
-        async with asyncio.timeout(START_S):
-            while not await self._pings():
-                await asyncio.sleep(0.02)
+        while not await self._pings():
+            if time.monotonic() - start > START_S:
+                raise ChildError(f"{self.process.name}: not ready after {START_S:g} s")
+            await asyncio.sleep(0.02)
         return time.monotonic() - start
 
     async def _pings(self) -> bool:
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -10,6 +10,7 @@
 import gc
 import heapq
 import logging
+import random
 import time
 from collections import Counter
 from dataclasses import replace
@@ -21,10 +22,13 @@
 from brackenloft import interface as api
 from brackenloft.logic import Gateway
 from brackenloft.net.discovery import Discovery, Roster
-from brackenloft.net.driver import Clock, Driver
+from brackenloft.net.driver import Call, Clock, Driver
 from brackenloft.net.servers import Address, Servers
 from brackenloft.settings import settings_from
+from scale.config import zones
+from scale.load import arrivals, encode
 
+CLASS, PLAN, DEADLINE_MS = "class-0", "plan", 2_000.0
 DESCRIPTORS, HELD = 64, 1 << 20
 START_GAP_S = 0.002  # between two that start
 LATENCY_MS = 5.0  # of a server, as the decisions are told
@@ -90,11 +94,12 @@
 class Hollows:
     """Many hollow gateways. The role of a child; its methods are the parent's calls."""
 
-    def __init__(self, document: dict[str, Any], kind: str, first: int, number: int) -> None:
-        settings = settings_from(document)
-        self.all = [
-            Hollow(replace(settings, index=index % settings.gateways) if kind == "gateway" else None, index)
-            for index in range(first, first + number)]
+    def __init__(self, document: dict[str, Any], kind: str, first: int, number: int, zone_count: int) -> None:
+        settings, names = settings_from(document), zones(zone_count)
+        self.all = []
+        for index in range(first, first + number):
+            own = replace(settings, index=index % settings.gateways, zone=names[index % zone_count])
+            self.all.append(Hollow(own if kind == "gateway" else None, index))
         self.probe = Probe()
 
     async def start(self) -> None:
@@ -123,6 +128,26 @@
             hollow.heard = hollow.heard[-1:]
         return {"heard": heard}
 
+    async def ask(self, rate: float, seconds: float, seed: int, tenants: int, skew: float) -> dict[str, int]:
+        """So many requests a second at each gateway, without clients' sockets; what became of them.
+
+        They come by chance at any of the gateways here, of customers by Zipf.
+        """
+        results: Counter[str] = Counter()
+        source, start = random.Random(f"hollow {seed}"), time.monotonic()
+        drivers = [hollow.driver for hollow in self.all if hollow.driver]
+        for number, arrival in enumerate(arrivals(seed, rate * len(drivers), seconds, tenants, skew)):
+            await asyncio.sleep(max(0.0, start + arrival.due_s - time.monotonic()))
+            command, name = encode(CLASS, PLAN, DEADLINE_MS, arrival.tenant, number, 1), f"{seed}-{number}"
+            call = Call(name, lambda left_ms, command=command: command,  # type: ignore[misc]
+                        lambda answer: results.update([answer[:5].decode("latin-1").strip()]))
+            request = api.Request(name, CLASS, PLAN, f"{arrival.tenant:016x}", DEADLINE_MS)
+            source.choice(drivers).request(call, request, DEADLINE_MS)
+        await asyncio.sleep(DEADLINE_MS / 1000.0)
+        served = sum(number for word, number in results.items() if word.startswith("$"))
+        refused = results["-BUSY"]
+        return {"served": served, "refused": refused, "failed": results.total() - served - refused}
+
     async def probe_begin(self) -> None:
         """Watch the loop from now on."""
         self.probe.begin()
@@ -138,6 +163,7 @@
     def __init__(self, document: dict[str, Any], servers: int) -> None:
         self.process = psutil.Process()
         gc.collect()
+        self.at_first = self.process.memory_info().rss
         self.settings = settings_from(document)
         self.gateway = Gateway(self.settings, 1)
         self.now, self.order = 0.0, count()
@@ -150,12 +176,13 @@
         """Nothing to listen on."""
 
     async def ask(self, tenants: int, requests: int, gap_ms: float) -> dict[str, Any]:
-        """So many requests of so many customers by turns, over all classes and plans; what they cost.
+        """So many requests of so many customers by turns, over all classes; what they cost.
 
-        Processor time in microseconds a request, growth of the resident memory in bytes, what became of them.
+        Processor time in microseconds a request, bytes of resident memory since before the gateway was made,
+        customers that it holds at the end, what became of the requests.
         """
         gc.collect()
-        memory, spent = self.process.memory_info().rss, time.thread_time()
+        spent = time.thread_time()
         routes = [(kind.name, plan.name) for kind in self.settings.classes for plan in self.settings.plans]
         for number in range(requests):
             self._until(self.now + gap_ms)
@@ -164,8 +191,8 @@
         self._until(self.now + 10 * LATENCY_MS)
         spent = time.thread_time() - spent
         gc.collect()
-        return {"cpu_us": 1e6 * spent / requests, "memory": self.process.memory_info().rss - memory,
-                "results": dict(self.results)}
+        return {"cpu_us": 1e6 * spent / requests, "memory": self.process.memory_info().rss - self.at_first,
+                "held": len(self.gateway.customers), "results": dict(self.results)}
 
     def _until(self, end: float) -> None:
         while self.due and self.due[0][0] <= end:
--- a/scale/load.py
+++ b/scale/load.py
@@ -34,6 +34,13 @@
         yield Arrival(due_s, min(tenants - 1, bisect(shares, source.random() * shares[-1])))
 
 
+def encode(class_name: str, plan: str, deadline_ms: float, tenant: int, number: int, spread: int) -> bytes:
+    """A request as a client writes it (PROTOCOL, Clients to gateways)."""
+    fields = f"c={class_name},t={plan},d={deadline_ms:.0f},units=1,spread={spread},first=0"
+    words = (b"CALL.GET", b"%016x" % (tenant + 1), b"%016x" % number, fields.encode())
+    return b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
+
+
 class Line(Exception):  # noqa: N818
     """An error line of an answer."""
 
@@ -222,7 +229,4 @@
 
     def _command(self, tenant: int) -> bytes:
         self.sent += 1
-        fields = (f"c={self.class_name},t={self.plan},d={self.deadline_ms:.0f},units=1,"
-                  f"spread={self.spread},first=0")
-        words = (b"CALL.GET", b"%016x" % (tenant + 1), b"%016x" % self.sent, fields.encode())
-        return b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
+        return encode(self.class_name, self.plan, self.deadline_ms, tenant, self.sent, self.spread)
--- a/scale/play.py
+++ b/scale/play.py
@@ -30,10 +30,14 @@
     loop = asyncio.get_running_loop()
     start = loop.time()
     begun = await discovery.call("play", config=msgspec.to_builtins(config), seconds=seconds)
+    asked = [loop.create_task(_ask(bench, hollow, number, seconds)) for number, hollow in enumerate(hollows)]
     for number, real in enumerate(reals):
         found = await slopes.added_latency(bench, f"play {number}", real.port, config.load.rate)
         _latency(book.figures, f"gateway {number}", found)
-    await asyncio.sleep(max(0.0, start + seconds - loop.time()))
+    for answers in await asyncio.gather(*asked):
+        for what, number in answers.items():
+            name = f"hollow gateways: {what}"
+            book.figures[name] = book.figures.get(name, 0) + number
     bench.step(f"the news settles for {TAIL_S:g} s")
     await asyncio.sleep(TAIL_S)
     after = [process.usage() for process in (discovery, *hollows, *(real.process for real in reals))]
@@ -59,6 +63,18 @@
     await _news(bench, stats, hollows)
 
 
+async def _ask(bench: slopes.Bench, hollow: Child, number: int, seconds: float) -> dict[str, int]:
+    """Load at the hollow gateways of one process, which hold their own connections to the servers."""
+    load, config = bench.config.load, bench.config
+    if not load.hollow_rate or config.fleet.hollow_kind != "gateway":
+        await asyncio.sleep(seconds)
+        return {}
+    answers: dict[str, int] = await hollow.call(
+        "ask", patience_s=seconds + 60.0, rate=load.hollow_rate, seconds=seconds,
+        seed=config.seed * 1_000 + number, tenants=load.tenants, skew=load.skew)
+    return answers
+
+
 def _latency(figures: dict[str, Any], name: str, found: dict[str, Any]) -> None:
     for part in slopes.PARTS:
         for way in ("straight", "through"):
--- a/scale/processes.py
+++ b/scale/processes.py
@@ -51,7 +51,10 @@
 
     def __init__(self, name: str, process: asyncio.subprocess.Process) -> None:
         self.name, self.process, self.pid = name, process, process.pid
-        self.view = psutil.Process(process.pid)
+        try:
+            self.view = psutil.Process(process.pid)
+        except psutil.Error as error:
+            raise ChildError(f"{name}: it ended at once") from error
 
     def usage(self) -> Usage:
         """What it has used by now; ChildError if it has ended."""
@@ -131,7 +134,10 @@
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None,
     ) -> None:
         self.guard.cancel()
-        await asyncio.gather(*(process.end() for process in self.all))
+        ending = asyncio.ensure_future(asyncio.gather(*(process.end() for process in self.all)))
+        while not ending.done():
+            with suppress(asyncio.CancelledError):  # another signal, or the deadline: all are ended still
+                await asyncio.shield(ending)
         self.scratch.cleanup()
         self.log.info("children ended", number=len(self.all), stopped=self.stopped)
 
--- a/scale/slopes.py
+++ b/scale/slopes.py
@@ -18,6 +18,7 @@
 SPREAD_GAP_S = 0.2  # between two versions that a whole fleet is to have
 AT_99 = 0.99
 MOST_UNSERVED = 0.1  # of the requests, beside which a latency of the others still tells something
+QUOTA, AT_ONCE_MS, REQUESTS = 100.0, 0.01, 4_000  # units a second; between two requests; for each size
 PARTS = ("p50_ms", "p99_ms", "p99.9_ms")
 
 
@@ -35,8 +36,13 @@
         seed, fleet, load = self.config.seed, self.config.fleet, self.config.load
         self.servers, self.ports = await self.children.child(
             "servers", seed=seed, number=fleet.ports, service_ms=load.service_ms)
-        self.load, _ = await self.children.child(
-            "load", plan="plan-0", class_name="class-0", deadline_ms=load.deadline_ms, spread=1)
+        self.load = await self.new_load()
+
+    async def new_load(self) -> Child:
+        """A process that sends load."""
+        load, _ = await self.children.child(
+            "load", plan="plan", class_name="class-0", deadline_ms=self.config.load.deadline_ms, spread=1)
+        return load
 
     async def discovery(self, servers: int) -> tuple[Child, int]:
         """A discovery of so many servers, and its port."""
@@ -57,13 +63,15 @@
         """A process of hollow gateways, whose watches are to be begun."""
         child, _ = await self.children.child(
             "hollow", document=gateways.document(self.config.fleet.told(self.config.fleet.servers), 0, "a"),
-            kind=kind, first=first, number=number)
+            kind=kind, first=first, number=number, zone_count=self.config.fleet.zones)
         return child
 
-    async def run_load(self, label: str, ports: Sequence[int], seed: int, rate: float) -> dict[str, Any]:
+    async def run_load(
+        self, label: str, ports: Sequence[int], seed: int, rate: float, by: Child | None = None,
+    ) -> dict[str, Any]:
         """One phase of the load, to these ports; its report and the label's so far."""
         load = self.config.load
-        report: dict[str, Any] = await self.load.call(
+        report: dict[str, Any] = await (by or self.load).call(
             "run", patience_s=load.seconds + load.deadline_ms / 1000.0 + 30.0, label=label, ports=list(ports),
             seed=seed, rate=rate, seconds=load.seconds, tenants=load.tenants, skew=load.skew)
         return report
@@ -77,14 +85,16 @@
     straight: dict[str, Any] = {}
     through: dict[str, Any] = {}
     added: dict[str, list[float]] = {part: [] for part in PARTS}
-    listed = bench.ports[:bench.config.fleet.servers]
+    listed, opened = bench.ports[:bench.config.fleet.servers], 0
     for phase in range(bench.config.load.phases):
         seed = bench.config.seed * 1000 + phase
         straight = await bench.run_load(f"{label} straight", listed, seed, rate)
+        before = (await bench.servers.call("stats"))["opened"]
         through = await bench.run_load(f"{label} through", [port], seed, rate)
+        opened += (await bench.servers.call("stats"))["opened"] - before
         for part, values in added.items():
             values.append(through["phase"][part] - straight["phase"][part])
-    return {"straight": straight["whole"], "through": through["whole"], "added": added}
+    return {"straight": straight["whole"], "through": through["whole"], "added": added, "opened": opened}
 
 
 async def by_list(bench: Bench) -> None:
@@ -110,6 +120,9 @@
             book.add("gateway.memory", "servers", "MB", size, [after.rss / MEGABYTE])
             book.add("gateway.memory_peak", "servers", "MB", size, [after.peak / MEGABYTE])
             await _changes(bench, discovery, real, size)
+            await bench.children.end(real.process)
+            real = await bench.real(port, size)  # its first list says what it may have out
+            book.add("gateway.start_cpu", "servers", "ms", size, [1000.0 * real.process.usage().cpu_s])
             await _loaded(bench, real, size)
         await bench.children.end(discovery, real.process)
 
@@ -157,6 +170,8 @@
     for part, values in found["added"].items():
         name = f"gateway.added_{part.removesuffix('_ms')}"
         bench.book.add(name, by, "ms", size, [] if note else values, note)
+    served = found["through"]["counts"].get("served", 0)
+    bench.book.add("gateway.handshakes", by, "connections/request", size, [found["opened"] / max(1, served)])
 
 
 async def by_rate(bench: Bench) -> None:
@@ -194,7 +209,7 @@
     hollow = await bench.hollow(port, 0, 1, "gateway")
     await hollow.call("watch", port=port)
     await hollow.call("heard", version=1, within_s=5.0)
-    lists, changes = [], []
+    lists, walls, changes = [], [], []
     for _ in range(bench.config.slopes.repeats):
         await hollow.call("probe_begin")
         listed = await discovery.call("resize", servers=servers)
@@ -203,6 +218,7 @@
         if not heard["have"]:
             break
         lists.append(stall["cpu_ms"])
+        walls.append(stall["wall_ms"])
         await hollow.call("probe_begin")
         done = await discovery.call("change", rows=rows, versions=1)
         await hollow.call("heard", version=done["last"], within_s=HEARD_S)
@@ -210,31 +226,41 @@
     note = "" if lists else "refused: not heard within 8 s"
     if by == "servers":
         bench.book.add("gateway.list_stall", by, "ms", size, lists, note)
+        bench.book.add("gateway.list_stall_wall", by, "ms", size, walls, note)
     bench.book.add("gateway.change_stall", by, "ms", size, changes, note)
     await bench.children.end(discovery, hollow)
 
 
 async def by_tenants_and_routes(bench: Bench) -> None:
-    """The decisions alone, by customers seen and by classes, the nearest that the gateway has to routes."""
-    config, document = bench.config, gateways.document
-    gap_ms = 1000.0 / config.load.rate
+    """The decisions alone, by customers seen and by classes, the nearest that the gateway has to routes.
+
+    Customers come at the load's rate, and all at once: the first shows how many a gateway holds, the second
+    what one of them takes.
+    """
+    config, book, gap_ms = bench.config, bench.book, 1000.0 / bench.config.load.rate
     for tenants in config.slopes.tenants:
         bench.step(f"{tenants} customers")
-        module, _ = await bench.children.child(
-            "module", document=document(1, 0, "a"), servers=20)
-        found = await module.call("ask", patience_s=600.0, tenants=tenants, requests=tenants, gap_ms=gap_ms)
-        bench.book.add("gateway.tenants_memory", "tenants", "bytes", tenants, [found["memory"]])
-        bench.book.add("gateway.tenants_cpu", "tenants", "us/request", tenants, [found["cpu_us"]])
-        await bench.children.end(module)
+        found = await _decide(bench, gateways.document(1, 0, "a", quota=QUOTA), tenants, tenants, gap_ms)
+        book.add("gateway.tenants_held", "tenants seen", "tenants", tenants, [found["held"]])
+        book.add("gateway.request_cpu", "tenants seen", "us", tenants, [found["cpu_us"]])
+        found = await _decide(bench, gateways.document(1, 0, "a", quota=QUOTA), tenants, tenants, AT_ONCE_MS)
+        book.add("gateway.memory", "tenants held", "bytes", found["held"], [found["memory"]])
     for classes in config.slopes.routes:
         bench.step(f"{classes} classes")
-        module, _ = await bench.children.child(
-            "module", document=document(1, 0, "a", classes), servers=20)
-        requests = 4 * max(config.slopes.routes)
-        found = await module.call("ask", patience_s=600.0, tenants=100, requests=requests, gap_ms=gap_ms)
-        bench.book.add("gateway.routes_memory", "classes", "bytes", classes, [found["memory"]])
-        bench.book.add("gateway.routes_cpu", "classes", "us/request", classes, [found["cpu_us"]])
-        await bench.children.end(module)
+        found = await _decide(bench, gateways.document(1, 0, "a", classes), 100, REQUESTS, gap_ms)
+        book.add("gateway.memory", "routes", "bytes", classes, [found["memory"]])
+        book.add("gateway.request_cpu", "routes", "us", classes, [found["cpu_us"]])
+
+
+async def _decide(
+    bench: Bench, document: dict[str, Any], tenants: int, requests: int, gap_ms: float,
+) -> dict[str, Any]:
+    """What so many requests cost the decisions, in a process of its own."""
+    module, _ = await bench.children.child("module", document=document, servers=20)
+    found: dict[str, Any] = await module.call(
+        "ask", patience_s=600.0, tenants=tenants, requests=requests, gap_ms=gap_ms)
+    await bench.children.end(module)
+    return found
 
 
 def in_force(published: Sequence[Sequence[float]], heard: Sequence[Sequence[Sequence[float]]]) -> list[float]:
@@ -289,8 +315,32 @@
         await bench.children.end(discovery, *hollows)
 
 
+async def by_reals(bench: Bench) -> None:
+    """Connections to a server, by the number of real gateways that send load to the same servers at once."""
+    config = bench.config
+    servers = min(config.fleet.servers, len(bench.ports))
+    loads = [bench.load]
+    for number in config.slopes.reals:
+        bench.step(f"{number} real gateways before {servers} servers")
+        discovery, port = await bench.discovery(servers)
+        reals = [await bench.real(port, servers, index) for index in range(number)]
+        while len(loads) < number:
+            loads.append(await bench.new_load())
+        await bench.servers.call("forget")
+        await asyncio.gather(*(
+            bench.run_load("reals", [real.port], 1000 * index, config.load.rate, load)
+            for index, (real, load) in enumerate(zip(reals, loads, strict=False))))
+        stats = await bench.servers.call("stats")
+        bench.book.add("server.connections", "real gateways", "connections", number,
+                       [stats["connections"] / servers])
+        bench.book.add("server.connections_worst", "real gateways", "connections", number,
+                       [stats["most_per_server"]])
+        await bench.children.end(discovery, *(real.process for real in reals))
+
+
 MEASURES = {
-    "list": by_list, "stall": stalls, "module": by_tenants_and_routes, "fleet": by_fleet, "rate": by_rate}
+    "list": by_list, "stall": stalls, "module": by_tenants_and_routes, "fleet": by_fleet, "rate": by_rate,
+    "reals": by_reals}
 
 
 def steps(config: Config, names: Sequence[str]) -> int:
@@ -298,5 +348,5 @@
     slopes = config.slopes
     sizes = {"list": len(slopes.lists), "stall": len(slopes.lists) + len(slopes.changes),
              "module": len(slopes.tenants) + len(slopes.routes), "fleet": len(slopes.fleets),
-             "rate": len(slopes.rates)}
+             "rate": len(slopes.rates), "reals": len(slopes.reals)}
     return sum(sizes[name] for name in names)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -182,13 +182,32 @@
         assert results.read(path).stopped == f"{number.name} came"
 
 
+@pytest.mark.parametrize("flag, why", [
+    ("deadline_s=4.0", "deadline_s of 4 is over"), ("memory_mb=64", "more than memory_mb"),
+    ("processes=4", "`processes`"),
+])
+def test_run_beyond_its_limits_is_cut_short_and_leaves_a_result(tmp_path, flag, why):
+    done = subprocess.run(
+        [sys.executable, "-m", "scale", "run", "--out", str(tmp_path), "--hollow", "2", "--servers", "4",
+         "--set", "load.seconds=300.0", "--set", "fleet.ports=4", "--set", flag],
+        cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, timeout=60, check=False)
+    (path,) = tmp_path.glob("*.json")
+    assert done.returncode == 1 and why in results.read(path).stopped
+    assert not [pid for pid in _pids(tmp_path) if psutil.pid_exists(pid)]
+
+
+def _pids(folder: Path) -> list[int]:
+    """The children's ids, by the log."""
+    lines = [line for path in folder.glob("*/run.log") for line in path.read_text().splitlines()]
+    rows = [json.loads(line) for line in lines if line.endswith("}")]
+    return [row["pid"] for row in rows if row["event"] == "started"]
+
+
 def _started(process: subprocess.Popen, folder: Path, number: int) -> list[int]:
     """The children's ids, once there are so many and load is sent."""
     while process.poll() is None:
-        lines = [line for path in folder.glob("*/run.log") for line in path.read_text().splitlines()]
-        rows = [json.loads(line) for line in lines if line.endswith("}")]
-        pids = [row["pid"] for row in rows if row["event"] == "started"]
-        if len(pids) >= number and any("churn" in row.get("what", "") for row in rows):
+        pids = _pids(folder)
+        if len(pids) >= number and any("churn" in path.read_text() for path in folder.glob("*/run.log")):
             return pids
         time.sleep(0.05)
     raise AssertionError("the run ended by itself")
