--- a/scale/__main__.py
+++ b/scale/__main__.py
@@ -1,4 +1,4 @@
-"""The scale run's commands: ``run``, ``slopes`` and ``table``."""
+"""The scale run's commands: ``run``, ``slopes``, ``table`` and ``capacity``."""
 
 from __future__ import annotations
 
@@ -15,9 +15,9 @@
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
 
+from scale import capacity, results, slopes
 from scale import config as config_module
 from scale import play as play_module
-from scale import results, slopes
 from scale.config import Config, ConfigError
 from scale.processes import ROOT, ChildError, Children, LimitError
 
@@ -146,10 +146,31 @@
 def table(files: tuple[Path, ...]) -> None:
     """The tables of results."""
     for path in files:
-        try:
-            results.show(results.read(path), Console())
-        except msgspec.DecodeError as error:
-            raise click.UsageError(f"{path}: {error}") from error
+        results.show(_read(path), Console())
+
+
+@main.command(name="capacity")
+@click.option("--page", type=click.Path(exists=True, dir_okay=False, path_type=Path),
+              help="put the table between the marks of this page")
+@click.argument(
+    "files", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def capacity_command(page: Path | None, files: tuple[Path, ...]) -> None:
+    """What the fleet to come would take, worked out from results."""
+    made = capacity.table([_read(path) for path in files])
+    if page is None:
+        click.echo(f"{capacity.BEGIN}\n{made}\n{capacity.END}")
+        return
+    try:
+        page.write_text(capacity.put(page.read_text(), made))
+    except ValueError as error:
+        raise click.UsageError(f"{page}: {error}") from error
+
+
+def _read(path: Path) -> results.Result:
+    try:
+        return results.read(path)
+    except msgspec.DecodeError as error:
+        raise click.UsageError(f"{path}: {error}") from error
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,80 @@
+"""docs/CAPACITY.md: its table is what the committed results give, by arithmetic that is checked here."""
+
+from pathlib import Path
+
+import pytest
+
+from scale import capacity, config, results
+
+ROOT = Path(__file__).parent.parent
+
+
+def made(*points: tuple[float, float], name="memory", by="servers", role="gateway", started="1", note=()):
+    """A result of one series."""
+    series = results.Series(name, role, by, "MB")
+    for size, value in points:
+        series.add(size, [value])
+    for size in note:
+        series.add(size, [], "refused")
+    return results.Result("slopes", 1, "", started, 1.0, "", {}, {}, config.Config(), [series], {})
+
+
+def row(table: str, quantity: str) -> list[str]:
+    (line,) = [line for line in table.splitlines() if f"| {quantity} |" in line]
+    return [cell.strip() for cell in line.strip("|").split("|")]
+
+
+def test_page_holds_the_table_that_the_committed_results_give():
+    paths = sorted((ROOT / "docs" / "capacity").glob("*.json"))
+    assert paths, "no results"
+    page = (ROOT / "docs" / "CAPACITY.md").read_text()
+    assert capacity.between(page) == capacity.table([results.read(path) for path in paths])
+
+
+def test_committed_results_are_whole():
+    for path in (ROOT / "docs" / "capacity").glob("*.json"):
+        read = results.read(path)
+        assert not read.stopped, path
+        for series in read.series:
+            values = [(point.size, point.value) for point in series.points if point.value is not None]
+            assert series.fit == results.fit(values), (path, series.name)
+
+
+def test_figure_is_the_line_at_the_size_of_the_fleet_and_its_verdict_goes_by_the_budget():
+    within = row(capacity.table([made((100, 20.1), (200, 20.2), (400, 20.4), (800, 20.8))]), "memory, all")
+    assert within == ["gateway", "memory, all", "0.001 MB", "100, 200, 400, 800", "0%", "38,000 servers",
+                      "58 MB", "128 MB", "within", "47.5 times"]
+    points = ((100, 20.3), (200, 20.6), (400, 21.2), (19000, 77.0))
+    over = row(capacity.table([made(*points, note=[38000])]), "memory, all")
+    assert over[3] == "100, 200, 400, 19000; 38000: refused"
+    assert over[6:] == ["134 MB", "128 MB", "over", "2.0 times"]
+
+
+@pytest.mark.parametrize("points", [
+    [(1, 1.0), (2, 2.0), (3, 3.0)], [(1, 1.0), (2, 1.0), (3, 9.0), (4, 1.0)], [(1, 1.0)],
+])
+def test_fewer_than_four_sizes_or_a_line_that_does_not_hold_leave_it_unknown(points):
+    cells = row(capacity.table([made(*points)]), "memory, all")
+    assert cells[8] == "unknown"
+    assert row(capacity.table([made(*points)]), "memory, routes as classes")[3] == "not measured"
+
+
+def test_what_was_measured_at_the_very_size_goes_before_the_line():
+    series = made((50, 9.0), (100, 1.0), (218, 1.2), (300, 9.0), name="added_p99", by="requests/s")
+    cells = row(capacity.table([series]), "added at p99, by load")
+    assert cells[6:] == ["1.2 ms", "1.3 ms", "within", "no"]
+
+
+def test_later_result_of_the_same_quantity_counts():
+    first = made((1, 1.0), (2, 2.0), (3, 3.0), (4, 4.0), started="2026-01-01")
+    later = made((1, 5.0), (2, 5.0), (3, 5.0), (4, 5.0), started="2026-01-02")
+    for order in ([first, later], [later, first]):
+        assert row(capacity.table(order), "memory, all")[6] == "5 MB"
+
+
+def test_table_goes_between_the_marks_and_nothing_else_changes():
+    page = f"before\n{capacity.BEGIN}\nold\n{capacity.END}\nafter\n"
+    assert capacity.put(page, "new") == f"before\n{capacity.BEGIN}\nnew\n{capacity.END}\nafter\n"
+    assert capacity.between(capacity.put(page, "new")) == "new"
+    with pytest.raises(ValueError, match="mark"):
+        capacity.put(f"{capacity.BEGIN} only", "new")
