--- a/scale/capacity.py
+++ b/scale/capacity.py
@@ -37,11 +37,16 @@
     budget: float | None = None
     times: float = 1.0
     plus: float = 0.0
+    only_if_seen: bool = False  # of a fault that may not come about: without its series there is no row
 
 
 QUANTITIES = (
     Quantity("gateway", "whole list, against the longest line", "discovery.list by servers",
              "bytes", LONGEST_LINE),
+    Quantity("gateway", "refused list asked for again, bytes", "gateway.refused_sent by servers", "bytes/s",
+             CONTROL_BYTES, only_if_seen=True),
+    Quantity("gateway", "refused list asked for again, cpu", "gateway.refused_cpu by servers", "ms/s",
+             CONTROL_MS, only_if_seen=True),
     Quantity("gateway", "loop's stall, whole list", "gateway.list_stall by servers", "ms", STALL_MS),
     Quantity("gateway", "loop's stall, one change", "gateway.change_stall by servers", "ms", ADDED_MS),
     Quantity("gateway", "processor time, whole list", "gateway.list_cpu by servers", "ms"),
@@ -63,6 +68,8 @@
     Quantity("gateway", "sockets, by load", "gateway.sockets by requests/s", "sockets"),
     Quantity("gateway", "connections opened", "gateway.handshakes by servers", "a request"),
     Quantity("fleet", "a change in force at 99 in 100", "fleet.in_force_99 by gateways", "ms", IN_FORCE_MS),
+    Quantity("fleet", "a zone lost, and back", "fleet.zone_99_worst by gateways", "ms", IN_FORCE_MS),
+    Quantity("fleet", "all return, whole list of 400", "fleet.return_99 by gateways", "ms", IN_FORCE_MS),
     Quantity("discovery", "processor time, changes", "discovery.change_cpu by gateways",
              "ms/s", None, VERSIONS_S),
     Quantity("discovery", "bytes, changes", "discovery.change_sent by gateways", "bytes/s", None, VERSIONS_S),
@@ -90,27 +97,36 @@
     by = quantity.series.partition(" by ")[2]
     at, name = f"{_number(AT[by])} {by}", (quantity.role, quantity.name)
     budget = "none" if quantity.budget is None else f"{_number(quantity.budget)} {quantity.unit}"
-    if series is None or series.fit is None:
+    points = series.points if series else []
+    measured = next((point.value for point in points if point.size == AT[by]), None)
+    fit = series.fit if series else None
+    if series is None or (fit is None and measured is None):
         return *name, "none", "not measured", "", at, "", budget, "unknown", ""
-    fit, largest = series.fit, max(series.fit.sizes)
-    measured = next((point.value for point in series.points if point.size == AT[by]), None)
+    if fit is None:  # one size only, which is the one asked for
+        assert measured is not None
+        fit = Fit(0.0, measured, 0.0, [AT[by]])
     there = fit.intercept + fit.slope * AT[by] if measured is None else measured
-    figure = there * quantity.times + quantity.plus
+    figure, largest = there * quantity.times + quantity.plus, max(fit.sizes)
     sizes = ", ".join(f"{size:g}" for size in fit.sizes)
     notes = "".join(f"; {point.size:g}: {point.note}" for point in series.points if point.note)
     return (
-        *name, f"{fit.slope:.3g} {series.unit}", sizes + notes, f"{fit.residual:.0%}", at,
-        f"{_number(figure)} {quantity.unit}", budget, _verdict(fit, measured, figure, quantity),
+        *name, f"{fit.slope:.3g} {series.unit}" if series.fit else "none", sizes + notes,
+        f"{fit.residual:.0%}", at, f"{_number(figure)} {quantity.unit}", budget,
+        _verdict(fit, measured, figure, quantity),
         f"{AT[by] / largest:.1f} times" if AT[by] > largest else "no")
 
 
 def table(results: Sequence[Result]) -> str:
-    """The Markdown table of these results; where two measured the same, the later one counts."""
+    """The Markdown table of these results; where two measured the same, the later one with a line counts."""
     found: dict[str, Series] = {}
     for result in sorted(results, key=lambda result: result.started):
-        found |= {f"{series.role}.{series.name} by {series.by}": series for series in result.series}
+        for series in result.series:
+            key = f"{series.role}.{series.name} by {series.by}"
+            if series.fit or key not in found or not found[key].fit:
+                found[key] = series
     rows = [HEAD, ("---",) * len(HEAD)]
-    rows += [_row(quantity, found.get(quantity.series)) for quantity in QUANTITIES]
+    rows += [_row(quantity, found.get(quantity.series)) for quantity in QUANTITIES
+             if quantity.series in found or not quantity.only_if_seen]
     return "\n".join(f"| {' | '.join(row)} |" for row in rows)
 
 
--- a/scale/config.py
+++ b/scale/config.py
@@ -83,6 +83,7 @@
     reals: Sizes = msgspec.field(default_factory=lambda: [1, 2, 3, 4])
     rates: Sizes = msgspec.field(default_factory=lambda: [25, 50, 100, 200])
     repeats: Annotated[int, msgspec.Meta(ge=1, le=20)] = 3
+    spread_gap_s: Positive = 0.2  # between two versions that a whole fleet is to have
     versions: Annotated[int, msgspec.Meta(ge=1, le=1_000)] = 20  # of one row each, published one by one
 
 
--- a/scale/discovery.py
+++ b/scale/discovery.py
@@ -187,6 +187,12 @@
     def _weighed(self, name: str, turn: float) -> Row:
         return msgspec.structs.replace(self.catalogue.rows[name], weight=1.0 + 0.01 * (1 + int(turn) % 9))
 
+    async def fault(self, kind: str, for_s: float = 0.0, zone: str = "") -> dict[str, Any]:
+        """What befalls discovery, from now until it is over; the versions before and after."""
+        before = self.catalogue.version
+        await self._fault(msgspec.convert({"at_s": 0.0, "kind": kind, "for_s": for_s, "zone": zone}, Fault))
+        return {"before": before, "last": self.catalogue.version}
+
     async def play(self, config: dict[str, Any], seconds: float) -> dict[str, Any]:
         """Begin a day's churn and the faults of this configuration; the events' number by kind."""
         whole = msgspec.convert(config, Config)
--- a/scale/slopes.py
+++ b/scale/slopes.py
@@ -15,8 +15,9 @@
 Step = Callable[[str], None]
 HEARD_S = 60.0  # for a list or a change to be in force
 CHANGE_GAP_S = 0.02  # between two versions, where each is to be read alone
-SPREAD_GAP_S = 0.2  # between two versions that a whole fleet is to have
 AT_99 = 0.99
+REFUSED_S = 10.0
+ZONE_S = 1.0  # that a zone is lost for
 MOST_UNSERVED = 0.1  # of the requests, beside which a latency of the others still tells something
 QUOTA, AT_ONCE_MS, REQUESTS = 100.0, 0.01, 4_000  # units a second; between two requests; for each size
 PARTS = ("p50_ms", "p99_ms", "p99.9_ms")
@@ -112,6 +113,7 @@
         book.add("discovery.list", "servers", "bytes", size, [listed["bytes"]])
         refused = real.says("a line without end")
         if refused or counts.get("ended", 0) > ended + 1:
+            await _refused(bench, discovery, real, size)
             for name, unit in (("list_cpu", "ms"), ("list_memory", "MB"), ("change_cpu", "ms")):
                 book.add(f"gateway.{name}", "servers", unit, size, [], f"refused {refused} times")
         else:
@@ -127,6 +129,18 @@
         await bench.children.end(discovery, real.process)
 
 
+async def _refused(bench: Bench, discovery: Child, real: gateways.Real, size: int) -> None:
+    """What a list that is refused costs, as it is asked for again and again."""
+    before, first = real.process.usage(), (await discovery.call("stats"))["counts"]
+    await asyncio.sleep(REFUSED_S)
+    after, last = real.process.usage(), (await discovery.call("stats"))["counts"]
+    asked = last["first_lines"] - first["first_lines"]
+    sent, spent = last["first_bytes"] - first["first_bytes"], after.cpu_s - before.cpu_s
+    bench.book.add("gateway.refused_asked", "servers", "times/s", size, [asked / REFUSED_S])
+    bench.book.add("gateway.refused_sent", "servers", "bytes/s", size, [sent / REFUSED_S])
+    bench.book.add("gateway.refused_cpu", "servers", "ms/s", size, [1000.0 * spent / REFUSED_S])
+
+
 async def _changes(bench: Bench, discovery: Child, real: gateways.Real, size: int) -> None:
     """What one change costs a real gateway, and how many bytes it is."""
     costs, versions = [], bench.config.slopes.versions
@@ -297,24 +311,36 @@
         hollows = await fleet(bench, port, number)
         await asyncio.gather(*(hollow.call("told") for hollow in hollows))
         before, versions, book = discovery.usage(), config.slopes.versions, bench.book
-        done = await discovery.call("change", versions=versions, gap_s=SPREAD_GAP_S)
-        await asyncio.gather(
-            *(hollow.call("heard", version=done["last"], within_s=HEARD_S) for hollow in hollows))
-        after, told = discovery.usage(), [await hollow.call("told") for hollow in hollows]
-        published = [(version, at) for version, at in (await discovery.call("stats"))["published"]
-                     if version >= done["first"]]
-        waits = in_force(published, [heard for part in told for heard in part["heard"]])
-        known = [1000.0 * wait for wait in waits if isfinite(wait)]
-        note = "" if len(known) == len(waits) else f"{len(waits) - len(known)} versions never in force"
-        book.add("fleet.in_force_99", "gateways", "ms", number, known, note)
-        book.add("fleet.in_force_99_worst", "gateways", "ms", number, [] if note else [max(known)], note)
+        done = await discovery.call("change", versions=versions, gap_s=config.slopes.spread_gap_s)
+        await _news(bench, discovery, hollows, "in_force", done["first"], done["last"])
+        after = discovery.usage()
         spent, sent = after.cpu_s - before.cpu_s, done["counts"]["change_bytes"]
         book.add("discovery.change_cpu", "gateways", "ms", number, [1000.0 * spent / versions])
         book.add("discovery.change_sent", "gateways", "bytes", number, [sent / versions])
         book.add("discovery.memory", "gateways", "MB", number, [after.rss / MEGABYTE])
+        lost = await discovery.call("fault", kind="lose_zone", zone="a", for_s=ZONE_S)
+        await _news(bench, discovery, hollows, "zone", lost["before"] + 1, lost["last"])
+        anew = await discovery.call("resize", servers=config.fleet.servers)
+        await _news(bench, discovery, hollows, "return", anew["version"], anew["version"])
         await bench.children.end(discovery, *hollows)
 
 
+async def _news(
+    bench: Bench, discovery: Child, hollows: list[Child], name: str, first: int, last: int,
+) -> None:
+    """How soon these versions were in force at 99 in 100 gateways: the median over them, and the worst."""
+    await asyncio.gather(*(hollow.call("heard", version=last, within_s=HEARD_S) for hollow in hollows))
+    told = [await hollow.call("told") for hollow in hollows]
+    heard = [versions for part in told for versions in part["heard"]]
+    published = [(version, at) for version, at in (await discovery.call("stats"))["published"]
+                 if first <= version <= last]
+    waits = in_force(published, heard)
+    known = [1000.0 * wait for wait in waits if isfinite(wait)]
+    note = "" if len(known) == len(waits) else f"{len(waits) - len(known)} versions never in force"
+    bench.book.add(f"fleet.{name}_99", "gateways", "ms", len(heard), known, note)
+    bench.book.add(f"fleet.{name}_99_worst", "gateways", "ms", len(heard), [] if note else [max(known)], note)
+
+
 async def by_reals(bench: Bench) -> None:
     """Connections to a server, by the number of real gateways that send load to the same servers at once."""
     config = bench.config
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -65,6 +65,18 @@
     assert cells[6:] == ["1.2 ms", "1.3 ms", "within", "no"]
 
 
+def test_what_one_size_alone_shows_is_told_at_that_size_and_does_not_displace_a_line():
+    refused = "refused list asked for again, bytes"
+    first = made((1, 1.0), (2, 2.0), (3, 3.0), (4, 4.0), started="2026-01-01")
+    later = made((38000, 7000.0), name="refused_sent", started="2026-01-02")
+    later.series += made(note=[38000]).series
+    assert refused not in capacity.table([first])
+    table = capacity.table([first, later])
+    assert row(table, refused)[2:] == [
+        "none", "38000", "0%", "38,000 servers", "7,000 bytes/s", "5,000 bytes/s", "over", "no"]
+    assert row(table, "memory, all")[3] == "1, 2, 3, 4"
+
+
 def test_later_result_of_the_same_quantity_counts():
     first = made((1, 1.0), (2, 2.0), (3, 3.0), (4, 4.0), started="2026-01-01")
     later = made((1, 5.0), (2, 5.0), (3, 5.0), (4, 5.0), started="2026-01-02")
