--- a/scale/child.py
+++ b/scale/child.py
@@ -32,14 +32,23 @@
     arguments: dict[str, Any]
 
 
-async def serve(role: str) -> None:
-    """Make the role with the first call's arguments, then carry out one call after the other."""
+async def _read(calls: asyncio.Queue[bytes]) -> None:
+    """Take the calls in; at the end of the input go at once, also in the middle of a call."""
     reader = asyncio.StreamReader(LONGEST_LINE)
     loop = asyncio.get_running_loop()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
-    made: Any = None
     while line := await reader.readline():
-        call = msgspec.json.decode(line, type=Call)
+        calls.put_nowait(line)
+    os._exit(0)
+
+
+async def serve(role: str) -> None:
+    """Make the role with the first call's arguments, then carry out one call after the other."""
+    calls: asyncio.Queue[bytes] = asyncio.Queue()
+    reading = asyncio.create_task(_read(calls))
+    made: Any = None
+    while not reading.done():
+        call = msgspec.json.decode(await calls.get(), type=Call)
         try:
             if made is None:
                 made = ROLES[role](**call.arguments)
@@ -53,11 +62,10 @@
 
 
 def main() -> None:
-    """Serve until the input ends; then go at once, whatever is still open."""
+    """Serve until the input ends."""
     _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
     uvloop.run(serve(sys.argv[1]))
-    os._exit(0)
 
 
 if __name__ == "__main__":
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -196,6 +196,23 @@
     assert not [pid for pid in _pids(tmp_path) if psutil.pid_exists(pid)]
 
 
+def test_child_ends_with_its_input_also_in_the_middle_of_a_call():
+    child = subprocess.Popen([sys.executable, "-m", "scale.child", "load"], cwd=ROOT, stdin=subprocess.PIPE,
+                             stdout=subprocess.PIPE)
+    assert child.stdin and child.stdout
+    made = {"plan": "plan", "class_name": "class-0", "deadline_ms": 100.0, "spread": 1}
+    long = {"label": "", "ports": [1], "seed": 1, "rate": 9.0, "seconds": 9e9, "tenants": 9, "skew": 1.0}
+    child.stdin.write(json.dumps({"name": "", "arguments": made}).encode() + b"\n")
+    child.stdin.write(json.dumps({"name": "run", "arguments": long}).encode() + b"\n")
+    child.stdin.flush()
+    try:
+        assert json.loads(child.stdout.readline()) == {"answer": None}  # it is in the second call by now
+        child.stdin.close()
+        assert child.wait(60) == 0
+    finally:
+        child.kill()
+
+
 def _pids(folder: Path) -> list[int]:
     """The children's ids, by the log."""
     lines = [line for path in folder.glob("*/run.log") for line in path.read_text().splitlines()]
