--- a/brackenloft/net/roster.py
+++ b/brackenloft/net/roster.py
@@ -191,18 +191,18 @@
         """What the decisions are told of all the rows."""
         return [told for name in list(self.rows) if (told := self._tell(name))]
 
-    def slices(self) -> Iterator[News]:
-        """The same as changes, some at a time; a whole list takes the place of the one before behind them.
+    def slices(self, version: int) -> Iterator[News]:
+        """The same as changes, some at a time; the last part alone has the list's version.
 
-        ValueError for a whole list of which no row can be read; the one before stays then.
+        A whole list takes the place of the one before behind its rows. ValueError for one of which no row
+        can be read; the one before stays then.
         """
         size = max(SLICE, len(self.rows) // MOST_SLICES)
         rows = iter(list(self.rows))
         while part := list(islice(rows, size)):
             told = [one for name in part if (one := self._tell(name))]
             yield self.news(api.ListKind.CHANGES, told, 0)
-        if self.full:
-            yield self.news(api.ListKind.CHANGES, self.replace(), 0)
+        yield self.news(api.ListKind.CHANGES, self.replace() if self.full else [], version)
 
     def _tell(self, name: str) -> Told | None:
         """The row of this name, or what was known before where it can't be read; None if nothing was."""
@@ -347,7 +347,7 @@
             reading = self.reading or self._begin()
         except (KeyError, TypeError) as error:
             raise ValueError(f"a field is missing or malformed: {error!r}") from error
-        return reading.slices()
+        return reading.slices(self.generation)
 
     @property
     def generation(self) -> int:
--- a/scale/capacity.py
+++ b/scale/capacity.py
@@ -18,7 +18,6 @@
 STALL_MS = 5.0  # the aim for a whole list, in the letter on the larger fleet
 NEWS_S = 4.0  # that a gateway keeps a customer for, at least, where a meter's period is a second
 BEAT_BYTES = 3.0  # a second: an empty line every 2 s
-LONGEST_LINE = 4 * 1024 * 1024  # of a watch: longer ones are refused (net/discovery.py)
 MEGABYTE = 1 << 20
 AT = {  # the size of the fleet to come, by what a series goes by
     "servers": 38_000.0, "gateways": 3_800.0, "requests/s": 218.0, "routes": 27_000.0,
@@ -41,8 +40,7 @@
 
 
 QUANTITIES = (
-    Quantity("gateway", "whole list, against the longest line", "discovery.list by servers",
-             "bytes", LONGEST_LINE),
+    Quantity("gateway", "whole list", "discovery.list by servers", "bytes"),
     Quantity("gateway", "refused list asked for again, bytes", "gateway.refused_sent by servers", "bytes/s",
              CONTROL_BYTES, only_if_seen=True),
     Quantity("gateway", "refused list asked for again, cpu", "gateway.refused_cpu by servers", "ms/s",
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -21,8 +21,9 @@
 
 from brackenloft import interface as api
 from brackenloft.logic import Gateway
-from brackenloft.net.discovery import Discovery, Roster
+from brackenloft.net.discovery import Discovery
 from brackenloft.net.driver import Call, Clock, Driver
+from brackenloft.net.roster import Roster
 from brackenloft.net.servers import Address, Servers
 from brackenloft.settings import settings_from
 from scale.config import zones
@@ -48,12 +49,14 @@
 
     def __init__(self, settings: api.Settings | None, seed: int) -> None:
         self.driver: Driver | None = None
-        self.discovery = Discovery(self._news, seed)
         if settings is None:
+            self.discovery = Discovery(self._news, seed)
             self.discovery.roster = Versions()
         else:
+            gateway = Gateway(settings, seed)
+            self.discovery = Discovery(self._news, seed, gateway.subset)
             self.servers = Servers(settings, DESCRIPTORS, HELD)
-            self.driver = Driver(Gateway(settings, seed), self.servers, Clock())
+            self.driver = Driver(gateway, self.servers, Clock())
         self.heard: list[tuple[int, float]] = []
 
     def _news(self, listing: api.ServerList, addresses: dict[int, Address]) -> None:
