Hold nothing against a server to which a connection was coming up when the client left

A client that left while its request's connection was coming up had the attempt cancelled, which ended it as one that could not connect (Servers.stop), and the decisions noted a failure of the server and of its zone: a burst of clients that leave while connections come up late puts servers in doubt that are well. Now such an attempt is called off as not sent, as one is whose request is over. Where the gateway itself gives up at the deadline the failure stays, as then it tells something (a test of before holds that). The test, by an end and by a reset, failed before: one failure noted of the server.

--- a/brackenloft/net/driver.py
+++ b/brackenloft/net/driver.py
@@ -48,7 +48,7 @@
     """A client's request in hand, until it has been answered and no attempt is out."""
 
     __slots__ = ("request_id", "encode", "on_answer", "on_value", "waits", "value", "deadline", "sends",
-                 "out", "answered")
+                 "out", "answered", "gone")
 
     def __init__(
         self, request_id: str, encode: Callable[[float], bytes], on_answer: Callable[[bytes], None],
@@ -58,6 +58,7 @@
         self.waits = waits  # whether the client is still there
         self.value: Value | None = None  # once a large one has begun
         self.deadline, self.sends, self.answered = 0.0, 0, False
+        self.gone = False  # the client has left
         self.out: dict[int, Attempt] = {}
 
 
@@ -133,7 +134,7 @@
         """The client closed its connection: nothing more is owed."""
         call = self.calls.get(request_id)
         if call and not call.answered:
-            call.answered = True
+            call.answered = call.gone = True
             self.over.append(call)
             self.post(api.ClientGone(request_id))
 
@@ -240,7 +241,9 @@
     def _cancel(self, action: api.Cancel) -> None:
         call = self.calls.get(action.request_id)
         attempt = call.out.get(action.attempt) if call else None
-        if attempt:
+        if call and attempt:
+            if call.gone:  # that it has not come up yet says nothing of its server
+                self.servers.call_off(attempt)
             self.servers.stop(attempt, api.Status.CANCELLED)
 
     # ---- Timers
--- a/tests/test_net_driver.py
+++ b/tests/test_net_driver.py
@@ -293,6 +293,28 @@
     run(test())
 
 
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_client_that_leaves_while_its_server_is_connected_to_says_nothing_against_the_server(
+        how, monkeypatch):
+    async def never(self):
+        await asyncio.Event().wait()
+
+    async def test():
+        server = FakeServer()
+        async with node(server) as gateway:
+            monkeypatch.setattr(Connection, "open", never)
+            peer = await gateway.peer()
+            peer.send(call(1))
+            await until(lambda: any(held.out for held in gateway.driver.calls.values()))
+            (peer.writer.close if how == "end" else peer.writer.transport.abort)()
+            await until(lambda: not gateway.driver.calls)
+            decisions = gateway.driver.gateway
+            assert decisions.servers[1].marks == {} == decisions.marks and not decisions.flights
+            assert not gateway.servers.connections and not server.commands
+
+    run(test())
+
+
 def test_request_that_is_over_is_let_go_whole_though_the_timer_of_its_attempt_is_not_due():
     async def test():
         async with node(FakeServer()) as gateway:
