Refuse an address that can't be by the name of its field, at the start and at SIGHUP

A configuration that named discovery at a port over 65535 was taken over at SIGHUP: the loop calls the port less 65536, so that somebody else was called, and once the old address had closed no news was heard. What was no address at all was logged without its field. Now listen, discovery and mgmt are checked, the field and the text are named, and what is stays.

--- a/brackenloft/__main__.py
+++ b/brackenloft/__main__.py
@@ -97,8 +97,11 @@
     return max(2, rest) - for_servers, for_servers
 
 
-def _address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
+def _address(field: str, text: Any) -> Address:
+    """``HOST:PORT``; ValueError that names the field for anything else, also for a port that can't be."""
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not (host and colon and port.isascii() and port.isdecimal() and 0 < int(port) < 1 << 16):
+        raise ValueError(f"{field}: {text!r} is no address")
     return host, int(port)
 
 
@@ -124,9 +127,9 @@
         document = json.loads(path.read_text())
         mgmt = environment.get("EDGE_MGMT") or document.get("mgmt")
         return Config(
-            path=path, listen=_address(environment.get("EDGE_LISTEN") or document["listen"]),
-            discovery=_address(environment.get("EDGE_DISCOVERY") or document["discovery"]),
-            mgmt=_address(mgmt) if mgmt else None,
+            path=path, listen=_address("listen", environment.get("EDGE_LISTEN") or document["listen"]),
+            discovery=_address("discovery", environment.get("EDGE_DISCOVERY") or document["discovery"]),
+            mgmt=_address("mgmt", mgmt) if mgmt else None,
             seed=int(document["seed"], 16), descriptors=int(document["limits"]["sockets"]),
             inherited=max(STANDARD, _open_descriptors()),
             memory=int(document["limits"]["memory_mb"]) * MEGABYTE,
@@ -140,7 +143,7 @@
     Guards against a file that is missing, half-written or malformed: it is logged, and what is stays.
     """
     try:
-        address = _address(json.loads(path.read_text())["discovery"])
+        address = _address("discovery", json.loads(path.read_text())["discovery"])
     except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
         log.error("the configuration was not read again: %r", error)
         return
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -278,3 +278,18 @@
     record = logging.makeLogRecord({"msg": "later", "created": 1000.0 + program_module.LOG_SPAN_S})
     assert ration.filter(record)
     assert record.getMessage() == f"later ({2 * program_module.LOG_LINES} lines left out before)"
+
+
+@pytest.mark.parametrize(
+    "text", ["127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1", ":80", "127.0.0.1:", "h:1_0", 7])
+def test_address_that_can_not_be_is_told_by_its_field_and_the_watch_stays_where_it_is(text, tmp_path, caplog):
+    class Watched:
+        def watch(self, address):
+            raise AssertionError(address)
+
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"discovery": text}))
+    program_module._reload(path, Watched())
+    assert "discovery" in caplog.text and repr(text) in caplog.text
+    with pytest.raises(ValueError, match="listen"):
+        program_module._address("listen", text)
