--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -174,7 +174,7 @@
         output, _ = process.communicate(timeout=60)
     finally:
         process.kill()
-    _, alive = psutil.wait_procs([psutil.Process(pid) for pid in pids if psutil.pid_exists(pid)], timeout=30)
+    _, alive = psutil.wait_procs([child for child in psutil.process_iter() if child.pid in pids], timeout=30)
     assert not alive
     if number != signal.SIGKILL:
         assert process.returncode == 130 and f"{number.name} came" in output.decode()
