--- a/scale/slopes.py
+++ b/scale/slopes.py
@@ -60,10 +60,10 @@
         await real.settled()
         return real
 
-    async def hollow(self, discovery: int, first: int, number: int, kind: str) -> Child:
-        """A process of hollow gateways, whose watches are to be begun."""
+    async def hollow(self, servers: int, first: int, number: int, kind: str) -> Child:
+        """A process of hollow gateways before so many servers, whose watches are to be begun."""
         child, _ = await self.children.child(
-            "hollow", document=gateways.document(self.config.fleet.told(self.config.fleet.servers), 0, "a"),
+            "hollow", document=gateways.document(self.config.fleet.told(servers), 0, "a"),
             kind=kind, first=first, number=number, zone_count=self.config.fleet.zones)
         return child
 
@@ -220,7 +220,7 @@
 
 async def _stall(bench: Bench, servers: int, by: str, size: int, rows: int) -> None:
     discovery, port = await bench.discovery(1)
-    hollow = await bench.hollow(port, 0, 1, "gateway")
+    hollow = await bench.hollow(servers, 0, 1, "gateway")
     await hollow.call("watch", port=port)
     await hollow.call("heard", version=1, within_s=5.0)
     lists, walls, changes = [], [], []
@@ -296,7 +296,7 @@
     config, hollows = bench.config.fleet, []
     for first in range(0, number, config.hollow_per_process):
         hollows.append(await bench.hollow(
-            discovery, first, min(config.hollow_per_process, number - first), config.hollow_kind))
+            config.servers, first, min(config.hollow_per_process, number - first), config.hollow_kind))
     await asyncio.gather(*(hollow.call("watch", port=discovery) for hollow in hollows))
     await asyncio.gather(*(hollow.call("heard", within_s=HEARD_S, version=1) for hollow in hollows))
     return hollows
