--- a/tests/test_discovery_chains.py
+++ b/tests/test_discovery_chains.py
@@ -140,13 +140,20 @@
     return wait
 
 
-async def chain(seed: int) -> float:
-    """That wait behind a chain of states that is drawn from the seed."""
-    loop, draw, fickle = asyncio.get_running_loop(), random.Random(seed), Fickle()
+async def begun(seed: int) -> tuple[VirtualLoop, Fickle, Listener]:
+    """A discovery that is up, and who has heard its first list."""
+    loop, fickle, listener = asyncio.get_running_loop(), Fickle(), Listener(seed)
     assert isinstance(loop, VirtualLoop)
     await fickle.become("up")
-    listener = Listener(seed)
     listener.discovery.watch(("127.0.0.1", fickle.port))
+    await listener.hears(1)
+    return loop, fickle, listener
+
+
+async def chain(seed: int) -> float:
+    """That wait behind a chain of states that is drawn from the seed."""
+    draw = random.Random(seed)
+    loop, fickle, listener = await begun(seed)
     await asyncio.sleep(draw.uniform(0.5, 10.0))
     for _ in range(draw.randint(1, 4)):
         loop.dial_s = draw.choice((0.0, draw.uniform(0.0, DIAL_S)))
@@ -158,12 +165,7 @@
 
 async def phase(state: str, dial_s: float, seed: int) -> float:
     """That wait where discovery returns in a bad moment of a long trouble: just after a call has begun."""
-    loop, fickle = asyncio.get_running_loop(), Fickle()
-    assert isinstance(loop, VirtualLoop)
-    await fickle.become("up")
-    listener = Listener(seed)
-    listener.discovery.watch(("127.0.0.1", fickle.port))
-    await listener.hears(1)
+    loop, fickle, listener = await begun(seed)
     loop.dial_s = dial_s
     await fickle.become(state)
     fickle.cut("end")
@@ -189,12 +191,7 @@
 
 async def silence(seed: int) -> float:
     """That wait where open watches fall silent just when there is news, while discovery can be reached."""
-    loop, fickle = asyncio.get_running_loop(), Fickle()
-    assert isinstance(loop, VirtualLoop)
-    await fickle.become("up")
-    listener = Listener(seed)
-    listener.discovery.watch(("127.0.0.1", fickle.port))
-    await listener.hears(1)
+    loop, fickle, listener = await begun(seed)
     await asyncio.sleep(random.Random(seed).uniform(0.0, 4.0))
     loop.dial_s = SLOW_DIAL_S
     fickle.cut("fall silent")
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from contextlib import asynccontextmanager
 from dataclasses import replace
 
 import pytest
@@ -29,7 +30,6 @@
 def follow(subset: Subset, port: int):
     """A watch and what it has been told: each server's state by name, as changes add up."""
     known: dict[str, ServerState] = {}
-    news: asyncio.Queue[ServerList] = asyncio.Queue()
 
     def take(told, addresses):
         if told.kind is not ListKind.CHANGES:
@@ -40,11 +40,10 @@
                 del known[entry.name]
             else:
                 assert addresses[entry.server]
-        news.put_nowait(told)
 
     discovery = Discovery(take, 1, subset)
     discovery.watch(("127.0.0.1", port))
-    return discovery, known, news
+    return discovery, known
 
 
 async def read_up(discovery: Discovery, generation: int) -> int:
@@ -57,6 +56,20 @@
     return turns
 
 
+@asynccontextmanager
+async def few_known():
+    """A watch that has read a list of a thousand servers, the discovery, its connection, what was told."""
+    fake = await FakeDiscovery().start()
+    discovery, known = follow(FEW, fake.port)
+    _, watch = await fake.watch()
+    watch.write(chunk(listing(1, *rows(*range(1000)), reset=True)))
+    await read_up(discovery, 1)
+    try:
+        yield discovery, fake, watch, known
+    finally:
+        discovery.end()
+
+
 def nearest(subset: Subset, names, most: int) -> set[str]:
     return set(sorted(names, key=subset.distance)[:most])
 
@@ -65,7 +78,7 @@
     async def test():
         fake = await FakeDiscovery().start()
         subset = Subset(FLEET, 17)
-        discovery, known, _ = follow(subset, fake.port)
+        discovery, known = follow(subset, fake.port)
         _, watch = await fake.watch()
         whole = listing(7, *rows(*range(SERVERS)), reset=True)
         watch.write(chunk(whole))
@@ -86,43 +99,33 @@
 
 def test_whole_list_that_comes_in_the_middle_replaces_what_was_known_though_it_is_told_in_parts():
     async def test():
-        fake = await FakeDiscovery().start()
-        discovery, known, _ = follow(FEW, fake.port)
-        _, watch = await fake.watch()
-        watch.write(chunk(listing(1, *rows(*range(1000)), reset=True)))
-        await read_up(discovery, 1)
-        before = set(known)
-        watch.write(chunk(listing(2, *rows(*range(500, 1500)), reset=True)) + chunk(b"\n"))
-        watch.write(chunk(listing(3, *rows(700, 701, state="Terminating"))))
-        await read_up(discovery, 3)
-        names = [line["instanceId"] for line in rows(*range(500, 1500))]
-        size = FEW.size(1000)
-        assert nearest(FEW, names, size) <= set(known) <= set(names) and len(known) == 2 * size
-        assert before != set(known)
-        assert discovery.roster.nearest.listed == 1000
-        discovery.end()
+        async with few_known() as (discovery, fake, watch, known):
+            before = set(known)
+            watch.write(chunk(listing(2, *rows(*range(500, 1500)), reset=True)) + chunk(b"\n"))
+            watch.write(chunk(listing(3, *rows(700, 701, state="Terminating"))))
+            await read_up(discovery, 3)
+            names = [line["instanceId"] for line in rows(*range(500, 1500))]
+            size = FEW.size(1000)
+            assert nearest(FEW, names, size) <= set(known) <= set(names) and len(known) == 2 * size
+            assert before != set(known)
+            assert discovery.roster.nearest.listed == 1000
 
     run(test())
 
 
 def test_connection_that_breaks_within_a_long_list_loses_nothing_and_the_list_is_asked_for_again():
     async def test():
-        fake = await FakeDiscovery().start()
-        discovery, known, _ = follow(FEW, fake.port)
-        _, watch = await fake.watch()
-        watch.write(chunk(listing(1, *rows(*range(1000)), reset=True)))
-        await read_up(discovery, 1)
-        before = dict(known)
-        watch.write(chunk(listing(2, *rows(*range(5000, 7000)), reset=True)[:-1000]))
-        await watch.drain()
-        watch.close()
-        target, watch = await fake.watch()
-        assert target == "/discovery/hosts?watch=1&from=1" and known == before
-        # an answer that is complete with its list is read to its end
-        watch.write(chunk(listing(2, *rows(*range(5000, 7000)), reset=True)) + b"0\r\n\r\n")
-        await read_up(discovery, 2)
-        assert not set(known) & set(before) and len(known) >= 2 * FEW.size(2000) - 2
-        discovery.end()
+        async with few_known() as (discovery, fake, watch, known):
+            before = dict(known)
+            watch.write(chunk(listing(2, *rows(*range(5000, 7000)), reset=True)[:-1000]))
+            await watch.drain()
+            watch.close()
+            target, watch = await fake.watch()
+            assert target == "/discovery/hosts?watch=1&from=1" and known == before
+            # an answer that is complete with its list is read to its end
+            watch.write(chunk(listing(2, *rows(*range(5000, 7000)), reset=True)) + b"0\r\n\r\n")
+            await read_up(discovery, 2)
+            assert not set(known) & set(before) and len(known) >= 2 * FEW.size(2000) - 2
 
     run(test())
 
@@ -137,16 +140,11 @@
 ])
 def test_long_document_that_can_not_be_read_is_given_up_and_what_was_known_stays(bad):
     async def test():
-        fake = await FakeDiscovery().start()
-        discovery, known, _ = follow(FEW, fake.port)
-        _, watch = await fake.watch()
-        watch.write(chunk(listing(1, *rows(*range(1000)), reset=True)))
-        await read_up(discovery, 1)
-        before = dict(known)
-        watch.write(chunk(bad))
-        target, watch = await fake.watch()
-        assert target == "/discovery/hosts?watch=1" and known == before
-        discovery.end()
+        async with few_known() as (discovery, fake, watch, known):
+            before = dict(known)
+            watch.write(chunk(bad))
+            target, watch = await fake.watch()
+            assert target == "/discovery/hosts?watch=1" and known == before
 
     run(test())
 
@@ -210,22 +208,17 @@
 
 def test_once_too_many_of_the_nearest_have_gone_the_whole_list_is_asked_for():
     async def test():
-        fake = await FakeDiscovery().start()
-        discovery, known, _ = follow(FEW, fake.port)
-        _, watch = await fake.watch()
-        watch.write(chunk(listing(1, *rows(*range(1000)), reset=True)))
-        await read_up(discovery, 1)
-        near = [int(name[2:]) for name in discovery.roster.nearest]
-        gone = near[:FEW.size(1000) + 1]
-        watch.write(chunk(listing(2, *rows(*gone, state="Gone"))))
-        target, watch = await fake.watch()
-        assert target == "/discovery/hosts?watch=1"
-        left = sorted(set(range(1000)) - set(gone))
-        watch.write(chunk(listing(2, *rows(*left), reset=True)))
-        await read_up(discovery, 2)
-        names = [line["instanceId"] for line in rows(*left)]
-        assert nearest(FEW, names, FEW.size(len(left))) <= set(known) and not discovery.roster.used_up()
-        discovery.end()
+        async with few_known() as (discovery, fake, watch, known):
+            near = [int(name[2:]) for name in discovery.roster.nearest]
+            gone = near[:FEW.size(1000) + 1]
+            watch.write(chunk(listing(2, *rows(*gone, state="Gone"))))
+            target, watch = await fake.watch()
+            assert target == "/discovery/hosts?watch=1"
+            left = sorted(set(range(1000)) - set(gone))
+            watch.write(chunk(listing(2, *rows(*left), reset=True)))
+            await read_up(discovery, 2)
+            names = [line["instanceId"] for line in rows(*left)]
+            assert nearest(FEW, names, FEW.size(len(left))) <= set(known) and not discovery.roster.used_up()
 
     run(test())
 
