Silence the log of hollow gateways in their own process, not at import

The level was set as the module was imported, so that tests of the log that ran after a test of the scale run found nothing in it: seven tests of an address that can't be failed in a run of all, not alone.

--- a/scale/child.py
+++ b/scale/child.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import resource
 import sys
@@ -65,6 +66,7 @@
     """Serve until the input ends."""
     _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+    logging.getLogger("brackenloft").setLevel(logging.CRITICAL)  # a fleet without its watches would fill it
     uvloop.run(serve(sys.argv[1]))
 
 
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -9,7 +9,6 @@
 import asyncio
 import gc
 import heapq
-import logging
 import random
 import time
 from collections import Counter
@@ -34,7 +33,6 @@
 START_GAP_S = 0.002  # between two that start
 LATENCY_MS = 5.0  # of a server, as the decisions are told
 NS_PER_MS = 1e6
-logging.getLogger("brackenloft").setLevel(logging.CRITICAL)  # a fleet without its watches would fill the log
 
 
 class Versions(Roster):
