Guard attempts and rejections at the sockets; count violations, answers, closes by reason

RequestGuard is the one place that says whether an attempt may start, whether its first and last bytes may go, and whether a rejection keeps its promise; it goes by what the sockets have seen, not by what the engine believes. ClientConnection closes in one place, by a reason. Eight invariants are checked at run time, counted and logged with the last events of the request; GET /_metrics renders the counters, and the log of an end names them. A long command whose end would go out over 0.1 s after its time left was written into it is tried elsewhere.

Two tests hedged where the settings forbid it, which the guard refuses: they allow it now and assert what they did.

--- a/quota_gateway/__init__.py
+++ b/quota_gateway/__init__.py
@@ -5,6 +5,7 @@
 
 from quota_gateway.model import (
     Action,
+    AnswerReason,
     AttachServer,
     AttemptStatus,
     CancelAttempt,
@@ -54,6 +55,7 @@
 
 __all__ = [
     "Action",
+    "AnswerReason",
     "AttachServer",
     "AttemptStatus",
     "CancelAttempt",
--- a/quota_gateway/model/__init__.py
+++ b/quota_gateway/model/__init__.py
@@ -2,6 +2,7 @@
 
 from quota_gateway.model.actions import (
     Action,
+    AnswerReason,
     CancelAttempt,
     CloseIdle,
     Fail,
@@ -56,6 +57,7 @@
 __all__ = [
     "DEFAULT_IDLE_MS",
     "Action",
+    "AnswerReason",
     "AttachServer",
     "AttemptStatus",
     "CancelAttempt",
--- a/quota_gateway/model/actions.py
+++ b/quota_gateway/model/actions.py
@@ -6,12 +6,29 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 
 from quota_gateway.model.events import PeerProcessUsage
 
 
+class AnswerReason(Enum):
+    """Why the engine gave a final answer that serves nothing; for metrics and logs alone."""
+
+    UNSPECIFIED = "unspecified"
+    UNKNOWN_CLASS_OR_PLAN = "unknown_class_or_plan"
+    THIN_RETRY = "thin_retry"
+    UNKNOWN_CUSTOMER = "unknown_customer"
+    OVER_QUOTA = "over_quota"
+    NO_PLACE_IN_TIME = "no_place_in_time"
+    SHED = "shed"
+    QUEUE_TIMEOUT = "queue_timeout"
+    ATTEMPT_LOST = "attempt_lost"
+    NO_FURTHER_ATTEMPT = "no_further_attempt"
+    DEADLINE = "deadline"
+
+
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
     """Start an attempt at a server. A ``timeout_ms`` of 0 means as long as the client waits."""
@@ -27,6 +44,7 @@
 
     request_id: str
     retry_after_ms: float = 0.0
+    reason: AnswerReason = field(default=AnswerReason.UNSPECIFIED, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +52,7 @@
     """Final answer: the request failed, and nothing is promised about its effect."""
 
     request_id: str
+    reason: AnswerReason = field(default=AnswerReason.UNSPECIFIED, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/quota_gateway/net/active_request.py
+++ b/quota_gateway/net/active_request.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Callable
 from math import inf
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
+from quota_gateway.model import RequestClass
 from quota_gateway.net.attempt import Attempt
 
 
@@ -23,6 +24,15 @@
     return True
 
 
+class ExecutedAttempt(NamedTuple):
+    """An attempt that may have run, when it started, and where its server keeps idempotency keys."""
+
+    number: int
+    started_ms: float
+    zone: str
+    cell: int
+
+
 class ActiveRequest:
     """A client's request, from its arrival until it is answered and none of its attempts is in flight.
 
@@ -42,9 +52,11 @@
         "client_left",
         "deadline_ms",
         "encode",
+        "executions",
         "is_client_waiting",
         "on_answer",
         "on_body_started",
+        "request_class",
         "request_id",
     )
 
@@ -65,9 +77,15 @@
         self.deadline_ms = 0.0
         self.attempt_count = 0  # attempts started so far, the number of the next one
         self.attempts: dict[int, Attempt] = {}  # in flight, by number
+        self.executions: dict[int, ExecutedAttempt] = {}  # of the attempts that may have run, or may yet
+        self.request_class: RequestClass | None = None
         self.answered = False
         self.client_left = False
 
+    def first_possible_execution(self) -> ExecutedAttempt | None:
+        """The first of its attempts that may have run, or may yet."""
+        return min(self.executions.values(), default=None)
+
 
 class ActiveAttempt:
     """What the driver knows of one attempt of a request: where it went, and when."""
@@ -75,20 +93,30 @@
     __slots__ = (
         "attempt",
         "deadline_ms",
+        "encoded_ms",
+        "execution",
         "first_byte_latency_ms",
-        "number",
         "request",
         "server",
-        "started_ms",
     )
 
     def __init__(
-        self, request: ActiveRequest, number: int, server: int, started_ms: float, deadline_ms: float
+        self, request: ActiveRequest, execution: ExecutedAttempt, server: int, deadline_ms: float
     ) -> None:
         self.request = request
-        self.number = number
+        self.execution = execution
         self.server = server
-        self.started_ms = started_ms
         self.deadline_ms = deadline_ms
+        self.encoded_ms = execution.started_ms  # when its command was encoded, with the time left by then
         self.first_byte_latency_ms = inf  # until the first bytes of a large value
         self.attempt: Attempt | None = None
+
+    @property
+    def number(self) -> int:
+        """Its number among the attempts of its request, from 0."""
+        return self.execution.number
+
+    @property
+    def started_ms(self) -> float:
+        """When it started."""
+        return self.execution.started_ms
--- a/quota_gateway/net/admin.py
+++ b/quota_gateway/net/admin.py
@@ -15,6 +15,7 @@
 import httptools
 
 from quota_gateway.net.address import Address
+from quota_gateway.telemetry import Metrics
 
 log = logging.getLogger(__name__)
 
@@ -27,6 +28,7 @@
 READY_TARGET = b"/_ready"
 DETACH_TARGET = b"/_servers/detach"
 ATTACH_TARGET = b"/_servers/attach"
+METRICS_TARGET = b"/_metrics"
 
 # RFC 9110's phrase: the standard library of Python 3.11 still has the older one
 REASON_PHRASES = {HTTPStatus.REQUEST_ENTITY_TOO_LARGE: "Content Too Large"}
@@ -39,7 +41,7 @@
     """The answer to one call."""
 
     status: HTTPStatus
-    text: str  # for a person, one line
+    text: str  # for a person, one line; for a scraper, the metrics
 
     def encode(self) -> bytes:
         """The answer as it goes to the operator."""
@@ -136,11 +138,15 @@
     Args:
         is_ready: Whether the gateway is ready to serve clients.
         set_detached: Detaches or attaches a server.
+        metrics: Of the process.
     """
 
-    def __init__(self, is_ready: Callable[[], bool], set_detached: SetDetached) -> None:
+    def __init__(
+        self, is_ready: Callable[[], bool], set_detached: SetDetached, metrics: Metrics | None = None
+    ) -> None:
         self.is_ready = is_ready
         self.set_detached = set_detached
+        self.metrics = metrics or Metrics()
         self.connections: OrderedDict[AdminConnection, None] = OrderedDict()  # the oldest first
         self.server: asyncio.Server | None = None
 
@@ -169,6 +175,8 @@
         """Carry out one call."""
         if path == READY_TARGET:
             return self._readiness(method)
+        if path == METRICS_TARGET:
+            return self._metrics(method)
         if path not in (DETACH_TARGET, ATTACH_TARGET):
             return AdminResponse(HTTPStatus.NOT_FOUND, "no such call")
         if method != b"POST":
@@ -185,6 +193,11 @@
             return AdminResponse(HTTPStatus.OK, "ready")
         return AdminResponse(HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
 
+    def _metrics(self, method: bytes) -> AdminResponse:
+        if method != b"GET":
+            return AdminResponse(HTTPStatus.METHOD_NOT_ALLOWED, "GET only")
+        return AdminResponse(HTTPStatus.OK, self.metrics.render())
+
     async def _set_detached(self, name: str, detached: bool) -> AdminResponse:
         if not await self.set_detached(name, detached):
             return AdminResponse(HTTPStatus.NOT_FOUND, "no such server")
--- a/quota_gateway/net/attempt.py
+++ b/quota_gateway/net/attempt.py
@@ -54,8 +54,12 @@
     return discard_piece
 
 
-def _always_wanted() -> bool:
-    return True
+def _never_refused() -> AttemptStatus | None:
+    return None
+
+
+def _ignore_sent() -> None:
+    """What happens when a command has gone whole and nobody wants to know."""
 
 
 class Attempt:
@@ -67,17 +71,19 @@
         on_body_started: Called with the length of a large value as its first bytes come; returns the
             consumer of its pieces. Such a value is not gathered, the outcome's value is empty then.
         encode_again: Encodes the command anew for a connection that took a while to come up.
-        is_wanted: Whether the client still waits.
+        refusal_to_send: Asked before the first and the last bytes go: None, or how the attempt ends instead.
+        on_sent: Called when the last byte has gone to the kernel.
     """
 
     __slots__ = (
         "body_consumer",
         "connection",
         "encode_again",
-        "is_wanted",
         "on_body_started",
         "on_done",
+        "on_sent",
         "payload",
+        "refusal_to_send",
     )
 
     def __init__(
@@ -86,13 +92,15 @@
         on_done: Callable[[UpstreamReply], None],
         on_body_started: Callable[[int], BodyConsumer] = _discard_body,
         encode_again: Callable[[], bytes] | None = None,
-        is_wanted: Callable[[], bool] = _always_wanted,
+        refusal_to_send: Callable[[], AttemptStatus | None] = _never_refused,
+        on_sent: Callable[[], None] = _ignore_sent,
     ) -> None:
         self.payload = payload
         self.on_done: Callable[[UpstreamReply], None] | None = on_done
         self.on_body_started = on_body_started
         self.encode_again = encode_again
-        self.is_wanted = is_wanted
+        self.refusal_to_send = refusal_to_send
+        self.on_sent = on_sent
         self.connection: AttemptConnection | None = None
         self.body_consumer: BodyConsumer | None = None  # once a large value has begun
 
@@ -112,6 +120,7 @@
         self.payload = b""
         self.encode_again = None
         self.on_body_started = _discard_body
-        self.is_wanted = _always_wanted
+        self.refusal_to_send = _never_refused
+        self.on_sent = _ignore_sent
         if on_done:
             on_done(reply)
--- a/quota_gateway/net/client_connection.py
+++ b/quota_gateway/net/client_connection.py
@@ -9,17 +9,44 @@
 from collections import deque
 from contextlib import suppress
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol, cast
 
 from quota_gateway import model as api
 from quota_gateway.net.buffer_budget import BufferBudget, BufferUsage
 from quota_gateway.net.command_intake import CommandIntake, IntakeServices
 from quota_gateway.net.pending_reply import PendingReply
+from quota_gateway.telemetry import Invariant, Metric
 
 LINGER_S = 0.3  # a rejected connection stays so long, unread, that the error is not lost to a reset
 WRITE_STALL_TIMEOUT_S = 15.0  # a client that takes no byte of its replies for so long is gone
 
 
+class CloseReason(Enum):
+    """Why the gateway closed a client's connection, in the words of the metrics."""
+
+    CLIENT_LEFT = "client_left"
+    COMMAND_OVERDUE = "command_overdue"
+    INPUT_REJECTED = "input_rejected"
+    MADE_ROOM = "made_room"
+    PASSED_ON = "passed_on"
+    PROCESS_ENDS = "process_ends"
+    SHUTDOWN = "shutdown"
+    VALUE_TRUNCATED = "value_truncated"
+    WRITE_STALLED = "write_stalled"
+
+
+# Reasons that may come while an answer is owed: the client has gone or takes nothing, a value broke off, or
+# nothing more can be done before SIGKILL comes.
+CLOSES_WHILE_OWED = frozenset(
+    (
+        CloseReason.CLIENT_LEFT,
+        CloseReason.VALUE_TRUNCATED,
+        CloseReason.WRITE_STALLED,
+    )
+)
+
+
 @dataclass(frozen=True, slots=True)
 class ResumedConnection:
     """What went before on a connection that another process has served until now."""
@@ -109,7 +136,9 @@
             self._unsent_bytes = self.transport.get_write_buffer_size()
             self.buffers.count(self._unsent_bytes)
         if self._abort_timer is None:
-            self._abort_timer = self._owner.loop.call_later(WRITE_STALL_TIMEOUT_S, self.abort)
+            self._abort_timer = self._owner.loop.call_later(
+                WRITE_STALL_TIMEOUT_S, self.abort, CloseReason.WRITE_STALLED
+            )
 
     def resume_writing(self) -> None:
         """Go on writing, as the client has taken its replies."""
@@ -159,14 +188,14 @@
         for reply in list(self.pending_replies):
             if reply.reply is None:
                 self._owner.driver.client_disconnected(reply.request_id)
-        self.transport.close()
+        self._close(CloseReason.CLIENT_LEFT)
 
     def time_out(self) -> None:
         """End the connection, as a command, or its end, is overdue; requests in hand fail."""
         if self.transport is None:
             return
         if self.is_closing and not self.pending_replies:
-            self.transport.abort()  # it does not take its error
+            self.abort(CloseReason.COMMAND_OVERDUE)  # it does not take its error
             return
         if not self.is_closing:
             self.intake.reject_input(self, "timeout")
@@ -220,11 +249,35 @@
 
     # ---- The end
 
+    def _close(self, reason: CloseReason, at_once: bool = False) -> None:
+        """Close the connection: the one place where the gateway ends it.
+
+        Args:
+            reason: Why, for the metrics and for the check that no answer is owed.
+            at_once: Whether what was not written yet is lost; else it still goes out.
+        """
+        transport = self.transport
+        if transport is None:
+            return
+        if not transport.is_closing():
+            telemetry = self._owner.driver.telemetry
+            telemetry.metrics.count(Metric.CLIENT_CONNECTIONS_CLOSED, reason.value)
+            is_owed = self.owes_answer() and reason not in CLOSES_WHILE_OWED
+            request_ids = ",".join(reply.request_id for reply in self.pending_replies)
+            telemetry.invariants.check(Invariant.NO_CLOSE_WHILE_OWED, not is_owed, request_ids, reason.value)
+        self.is_closing = True
+        if at_once:
+            transport.abort()
+        else:
+            transport.close()
+
+    def owes_answer(self) -> bool:
+        """Whether a request that was read has no answer yet."""
+        return any(reply.reply is None for reply in self.pending_replies)
+
     def close_truncated(self) -> None:
         """Close within a value that can't be completed; what was written still goes out."""
-        if self.transport:
-            self.is_closing = True
-            self.transport.close()
+        self._close(CloseReason.VALUE_TRUNCATED)
 
     def close_if_done(self) -> None:
         """Close between requests, when it is time to; commands that have come are taken first.
@@ -236,9 +289,11 @@
             return
         if self.is_closing and self.must_linger:
             if self._abort_timer is None:
-                self._abort_timer = self._owner.loop.call_later(LINGER_S, self.abort)
+                self._abort_timer = self._owner.loop.call_later(
+                    LINGER_S, self.abort, CloseReason.INPUT_REJECTED
+                )
         elif self.is_closing or self._may_stop():
-            transport.close()
+            self._close(CloseReason.SHUTDOWN)
 
     def _may_stop(self) -> bool:
         """Whether the gateway stops and no command has come that this connection could still read."""
@@ -255,10 +310,9 @@
         self.intake.update_read_pause(self)
         self.close_if_done()
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason = CloseReason.PROCESS_ENDS) -> None:
         """Close at once; what was not written is lost."""
-        if self.transport:
-            self.transport.abort()
+        self._close(reason, at_once=True)
 
     def close_to_make_room(self) -> bool:
         """Close the connection, unless a command has come that was not read yet; whether it was closed."""
@@ -266,8 +320,7 @@
             return False
         if not self.is_closing and _has_unread_bytes(self.socket):
             return False
-        self.is_closing = True
-        self.transport.abort()
+        self.abort(CloseReason.MADE_ROOM)
         return True
 
     def release(self) -> tuple[int, ResumedConnection] | None:
@@ -289,8 +342,7 @@
             command_due_for_s=self._owner.idle_connections.command_due_for_s(self),
             partial_command=bytes(self.intake.reader.buffer),
         )
-        self.is_closing = True
-        transport.abort()
+        self.abort(CloseReason.PASSED_ON)
         return descriptor, resumed
 
     def _is_releasable(self, transport: asyncio.Transport) -> bool:
--- a/quota_gateway/net/client_listener.py
+++ b/quota_gateway/net/client_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
 
@@ -12,6 +13,7 @@
 from quota_gateway.net.commands import RequestParser
 from quota_gateway.net.driver import Driver
 from quota_gateway.net.idle_connections import IdleConnections
+from quota_gateway.telemetry import Metric
 
 __all__ = ["ClientConnection", "ClientListener", "ResumedConnection"]
 
@@ -102,6 +104,7 @@
                 return
             except OSError as error:
                 log.warning("client accept failed reason=%r", error)
+                self.driver.telemetry.metrics.count(Metric.CLIENT_ACCEPT_FAILURES, _errno_name(error))
                 self._stop_accepting()  # until the next sweep
                 return
             self.serve(sock)
@@ -212,3 +215,7 @@
         self._sweep_timer.cancel()
         for connection in list(self.connections):
             connection.abort()
+
+
+def _errno_name(error: OSError) -> str:
+    return errno.errorcode.get(error.errno or 0, "unknown")
--- a/quota_gateway/net/discovery_client.py
+++ b/quota_gateway/net/discovery_client.py
@@ -13,6 +13,7 @@
 from quota_gateway.net.discovery_watch import DiscoveryWatcher
 from quota_gateway.net.endpoint_registry import EndpointRegistry
 from quota_gateway.net.endpoint_row import RegistryChange
+from quota_gateway.telemetry import Metrics
 
 log = logging.getLogger(__name__)
 
@@ -34,6 +35,7 @@
         on_update: EndpointUpdateHandler,
         on_unavailable: Callable[[], None],
         seed: int,
+        metrics: Metrics | None = None,
     ) -> None:
         """Watch nothing yet.
 
@@ -42,6 +44,7 @@
             on_update: Called with each update, and by number with the addresses of the endpoints in it.
             on_unavailable: Called when a watch ends whose watcher has had no update yet.
             seed: For the jitter of all waits.
+            metrics: Of the process.
         """
         self.registry = registry
         self.active: DiscoveryWatcher | None = None
@@ -49,6 +52,7 @@
         self._on_update = on_update
         self._on_unavailable = on_unavailable
         self._random = random.Random(seed)
+        self._metrics = metrics or Metrics()
 
     def load_known(self, document: Any) -> None:
         """Read the complete list that the configuration or the process before has; it may be old."""
@@ -67,7 +71,7 @@
         if self.candidate:
             self.candidate.end()
         self.candidate = DiscoveryWatcher(
-            address, self.registry, self._on_change, self._on_unavailable, self._random
+            address, self.registry, self._on_change, self._on_unavailable, self._random, self._metrics
         )
 
     def end(self) -> None:
--- a/quota_gateway/net/discovery_watch.py
+++ b/quota_gateway/net/discovery_watch.py
@@ -15,6 +15,7 @@
 from quota_gateway.net.endpoint_row import RegistryChange
 from quota_gateway.net.reconnect_backoff import ReconnectBackoff
 from quota_gateway.net.watch_connection import WatchConnection, WatchEndReason
+from quota_gateway.telemetry import Metrics
 
 log = logging.getLogger(__name__)
 
@@ -39,6 +40,7 @@
         on_change: Callable[[DiscoveryWatcher, RegistryChange], None],
         on_unavailable: Callable[[], None],
         jitter_source: random.Random,
+        metrics: Metrics,
     ) -> None:
         """Open the first watch in the next turn of the loop.
 
@@ -48,11 +50,13 @@
             on_change: Called with what each update tells, or with a part of that.
             on_unavailable: Called when a watch ends and no update has been read yet.
             jitter_source: For the waits between watches.
+            metrics: Of the process.
         """
         self.address = address
         self.registry = registry
         self.generation: int | None = None
         self.was_rejected = False
+        self.metrics = metrics
         self._on_change = on_change
         self._on_unavailable = on_unavailable
         self._backoff = ReconnectBackoff(jitter_source)
--- a/quota_gateway/net/driver.py
+++ b/quota_gateway/net/driver.py
@@ -31,18 +31,23 @@
     Subscribe,
     TimerFired,
 )
-from quota_gateway.net.active_request import ActiveAttempt, ActiveRequest, BodyWriter
+from quota_gateway.net.active_request import ActiveAttempt, ActiveRequest, BodyWriter, ExecutedAttempt
 from quota_gateway.net.attempt import Attempt, BodyConsumer, UpstreamReply, discard_piece
 from quota_gateway.net.clock import Clock
 from quota_gateway.net.peer_processes import UsageListener
+from quota_gateway.net.request_guard import NEVER_EXECUTED, RequestGuard
 from quota_gateway.net.timer_queue import TimerQueue
+from quota_gateway.net.upstream_host import UpstreamHost
 from quota_gateway.net.upstream_pool import UpstreamPool
 from quota_gateway.policy.engine import PolicyEngine
+from quota_gateway.telemetry import Invariant, Metric
 
 __all__ = ["CLIENT_MARGIN_MS", "ActiveRequest", "BodyWriter", "Clock", "Driver"]
 
 log = logging.getLogger(__name__)
 
+FAILED_REPLY = b"-ERR failed\r\n"
+NO_HOST = UpstreamHost()  # of an attempt at a server that is not listed any more
 CLIENT_MARGIN_MS = 10.0  # kept of a client's timeout: the way here and back, and a loop that is late
 
 
@@ -68,6 +73,9 @@
         self.clock = clock
         self.active_requests: dict[str, ActiveRequest] = {}
         self.timers = TimerQueue(clock)
+        self.telemetry = upstream.telemetry
+        self._classes = {item.name: item for item in engine.settings.classes}
+        self._guard = RequestGuard(engine.settings, upstream.hosts, clock, self.telemetry)
         self._notify_peer = notify_peer
         self._events: deque[Event] = deque()
         self._is_handling = False
@@ -128,7 +136,9 @@
     def submit(self, active: ActiveRequest, request: Request, timeout_ms: float) -> None:
         """Take a client's request; it is answered once, through the callbacks of ``active``."""
         active.deadline_ms = self.clock() + timeout_ms
+        active.request_class = self._classes.get(request.class_name)
         self.active_requests[active.request_id] = active
+        self.telemetry.trace.add(active.request_id, "received", request.class_name)
         self.post(request)
 
     def client_disconnected(self, request_id: str) -> None:
@@ -137,6 +147,8 @@
         if active and not active.answered:
             active.answered = True
             active.client_left = True
+            self.telemetry.metrics.count(Metric.ANSWERS, "client_left")
+            self.telemetry.trace.add(request_id, "client left")
             self._maybe_over.append(active)
             self.post(ClientDisconnected(request_id))
 
@@ -163,8 +175,11 @@
         timeout_ms = request.deadline_ms - now_ms
         if action.timeout_ms:
             timeout_ms = min(timeout_ms, action.timeout_ms)
-        active = ActiveAttempt(request, number, action.server, now_ms, now_ms + timeout_ms)
-        if request.answered or timeout_ms <= 0.0:
+        host = self.upstream.hosts.get(action.server, NO_HOST)
+        execution = ExecutedAttempt(number, now_ms, host.zone, host.cell)
+        active = ActiveAttempt(request, execution, action.server, now_ms + timeout_ms)
+        self.telemetry.trace.add(request.request_id, "attempt started", action.server)
+        if not self._guard.may_start(active):
             self._report_outcome(active, UpstreamReply(AttemptStatus.NOT_SENT))
             return
         attempt = Attempt(
@@ -172,17 +187,22 @@
             partial(self._on_attempt_done, active),
             partial(self._on_body_started, active),
             partial(self._encode_again, active),
-            request.is_client_waiting,
+            partial(self._guard.refusal_to_send, active),
+            partial(self._guard.on_sent, active),
         )
         active.attempt = attempt
         request.attempts[number] = attempt
+        request.executions[number] = execution
         self.upstream.start(action.server, attempt)
+        if number:
+            self.telemetry.metrics.count(Metric.RETRIES, "hedge" if len(request.attempts) > 1 else "failure")
         if number in request.attempts:
             self.timers.call_at(active.deadline_ms, self._time_out, attempt)
 
     def _encode_again(self, active: ActiveAttempt) -> bytes:
         """Encode the command with what is left of its time, as connecting may have taken a while."""
-        return active.request.encode(active.deadline_ms - self.clock())
+        active.encoded_ms = self.clock()
+        return active.request.encode(active.deadline_ms - active.encoded_ms)
 
     def _on_body_started(self, active: ActiveAttempt, length: int) -> BodyConsumer:
         """The first bytes of a large value answer the client, if no other answer has."""
@@ -192,6 +212,7 @@
         if request.answered or request.on_body_started is None:
             self.upstream.stop(attempt, AttemptStatus.CANCELLED)
             return discard_piece
+        self._note_answer(request, "streamed")
         request.answered = True
         active.first_byte_latency_ms = self.clock() - active.started_ms
         body_writer = request.on_body_started(length, attempt)
@@ -205,6 +226,8 @@
     def _on_attempt_done(self, active: ActiveAttempt, reply: UpstreamReply) -> None:
         request = active.request
         request.attempts.pop(active.number, None)
+        if reply.status in NEVER_EXECUTED:
+            request.executions.pop(active.number, None)
         if active.attempt and active.attempt.body_consumer and request.body_writer:
             request.body_writer.end(reply.value is not None)
         self._report_outcome(active, reply)
@@ -212,7 +235,10 @@
     def _report_outcome(self, active: ActiveAttempt, reply: UpstreamReply) -> None:
         """Report the outcome of an attempt; a good answer goes to the client first, if it still waits."""
         request = active.request
+        self.telemetry.metrics.count(Metric.ATTEMPTS, reply.status.value)
+        self.telemetry.trace.add(request.request_id, "attempt ended", reply.status.value)
         if reply.value is not None and not request.answered:
+            self._note_answer(request, "served")
             self._answer(request, b"$%d\r\n%b\r\n" % (len(reply.value), reply.value))
         self._maybe_over.append(request)
         self.post(
@@ -246,14 +272,18 @@
     def _reject(self, action: Reject) -> None:
         retry_after_ms = round(action.retry_after_ms)
         answer = b"-BUSY %d\r\n" % retry_after_ms if retry_after_ms > 0 else b"-BUSY\r\n"
-        self._answer_finally(action.request_id, answer)
+        request = self.active_requests.get(action.request_id)
+        if request and not request.answered and not self._guard.may_reject(request):
+            answer = FAILED_REPLY
+        self._answer_finally(action.request_id, answer, f"rejected_{action.reason.value}")
 
     def _fail(self, action: Fail) -> None:
-        self._answer_finally(action.request_id, b"-ERR failed\r\n")
+        self._answer_finally(action.request_id, FAILED_REPLY, f"failed_{action.reason.value}")
 
-    def _answer_finally(self, request_id: str, answer: bytes) -> None:
+    def _answer_finally(self, request_id: str, answer: bytes, reason: str) -> None:
         request = self.active_requests.get(request_id)
         if request and not request.answered:
+            self._note_answer(request, reason)
             self._answer(request, answer)
             self._maybe_over.append(request)
             if not request.attempts:
@@ -263,6 +293,13 @@
         request.answered = True
         request.on_answer(answer)
 
+    def _note_answer(self, request: ActiveRequest, reason: str) -> None:
+        """Count a final answer, which has to be the only one."""
+        check = self.telemetry.invariants.check
+        check(Invariant.ONE_FINAL_ANSWER, not request.answered, request.request_id, reason)
+        self.telemetry.metrics.count(Metric.ANSWERS, reason)
+        self.telemetry.trace.add(request.request_id, "answered", reason)
+
     def _end_if_answered(self, request: ActiveRequest) -> None:
         """Once a request is answered, cancel its unsent attempts; forget it when none is in flight.
 
--- a/quota_gateway/net/handover_receiver.py
+++ b/quota_gateway/net/handover_receiver.py
@@ -26,6 +26,7 @@
 from quota_gateway.net.peer_requests import PeerRequestHandler
 from quota_gateway.net.process_channel import ChannelMessage, ProcessChannel, ReceivedMessage
 from quota_gateway.net.upstream_pool import UpstreamPool
+from quota_gateway.telemetry import Metric
 
 log = logging.getLogger(__name__)
 
@@ -115,7 +116,7 @@
         """
         channel = handover_state.channel
         self.peers.previous = channel
-        self.state = ReceiverState.SERVING
+        self._enter(ReceiverState.SERVING)
         self._spare_bytes = spare_bytes
         self.clients.max_buffered_bytes -= spare_bytes
         self.upstream_pool.max_buffered_bytes -= spare_bytes
@@ -127,10 +128,14 @@
         channel.send(ChannelMessage(Serving().to_json()))
         log.info("handover received")
 
+    def _enter(self, state: ReceiverState) -> None:
+        self.state = state
+        self.driver.telemetry.metrics.count(Metric.STATE_TRANSITIONS, f"receiver_{state.name.lower()}")
+
     def _on_previous_ended(self) -> None:
         if self.state is not ReceiverState.SERVING:
             return
-        self.state = ReceiverState.PREVIOUS_ENDED
+        self._enter(ReceiverState.PREVIOUS_ENDED)
         self.peers.previous = None
         self.clients.max_buffered_bytes += self._spare_bytes
         self.upstream_pool.max_buffered_bytes += self._spare_bytes
--- a/quota_gateway/net/handover_sender.py
+++ b/quota_gateway/net/handover_sender.py
@@ -26,6 +26,7 @@
 from quota_gateway.net.peer_requests import PeerRequestHandler
 from quota_gateway.net.process_channel import ChannelMessage, ProcessChannel, ReceivedMessage
 from quota_gateway.net.upstream_pool import UpstreamPool
+from quota_gateway.telemetry import Metric
 
 log = logging.getLogger(__name__)
 
@@ -71,6 +72,10 @@
         self._next_pass: asyncio.TimerHandle | None = None
         self._reported: DescriptorsInUse | None = None
 
+    def _enter(self, state: SenderState) -> None:
+        self.state = state
+        self.driver.telemetry.metrics.count(Metric.STATE_TRANSITIONS, f"sender_{state.name.lower()}")
+
     # ---- Listening
 
     def listen(self) -> None:
@@ -79,7 +84,7 @@
         if listener is None:
             return
         self.listener = listener
-        self.state = SenderState.LISTENING
+        self._enter(SenderState.LISTENING)
         self.loop.add_reader(listener, self._on_connect)
 
     def stop_listening(self) -> None:
@@ -116,7 +121,7 @@
             channel.close("this process has stopped listening")
             return
         log.info("handover requested")
-        self.state = SenderState.STATE_SENT
+        self._enter(SenderState.STATE_SENT)
         self.peers.next = channel
         channel.on_end = self._on_next_ended
         channel.set_receiver(lambda message: self._on_message(channel, message))
@@ -144,9 +149,9 @@
             self.driver.post(PeerProcessExited())
         self.clients.resume()
         if self.listener:
-            self.state = SenderState.LISTENING
+            self._enter(SenderState.LISTENING)
         else:
-            self.state = SenderState.NOT_LISTENING
+            self._enter(SenderState.NOT_LISTENING)
             self.listen()
 
     # ---- The connections
@@ -162,7 +167,7 @@
         if self._serving_timeout:
             self._serving_timeout.cancel()
             self._serving_timeout = None
-        self.state = SenderState.PASSING_CONNECTIONS
+        self._enter(SenderState.PASSING_CONNECTIONS)
         self.stop_listening()  # the version after the next asks the one that serves now
         log.info("handover accepted connections=%d", len(self.clients.connections))
         self._pass_connections(channel)
--- a/quota_gateway/net/upstream_connection.py
+++ b/quota_gateway/net/upstream_connection.py
@@ -18,6 +18,7 @@
 from quota_gateway.net.reply_parser import ReplyParser
 from quota_gateway.net.resp import ReplyReader
 from quota_gateway.net.upstream_host import UpstreamHost
+from quota_gateway.telemetry import Invariant, Metric, Telemetry
 
 log = logging.getLogger(__name__)
 
@@ -33,6 +34,7 @@
     loop: asyncio.AbstractEventLoop
     connect_timeout_s: float
     reply_parser: ReplyParser
+    telemetry: Telemetry
 
     def count_buffered(self, connection: UpstreamConnection, change_bytes: int) -> None:
         """Count bytes buffered for a reply; raises ProtocolError where there are too many."""
@@ -109,10 +111,13 @@
             self.transport.abort()
         elif self.epoch != self.host.epoch or not self.host.is_ready:
             self.close(AttemptStatus.CONNECT_FAILED)  # no first byte to a server that is draining or gone
-        elif not attempt.is_wanted():
-            self.close(AttemptStatus.NOT_SENT)  # the client has left, its end may not have been handled yet
         else:
-            self._write(attempt.encode_again() if attempt.encode_again else attempt.payload)
+            payload = attempt.encode_again() if attempt.encode_again else attempt.payload
+            refusal = attempt.refusal_to_send()
+            if refusal:
+                self.close(refusal)  # the client has left, its end may not have been handled yet
+            else:
+                self._write(payload)
 
     # ---- Sending
 
@@ -130,6 +135,9 @@
         """
         assert self.transport is not None
         self.fully_sent = False
+        if not self._is_host_ready():
+            self.close(AttemptStatus.CONNECT_FAILED)
+            return
         if len(payload) <= MAX_WHOLE_WRITE_BYTES:
             self.withheld = b""
             self.transport.write(payload)
@@ -148,13 +156,26 @@
         withheld = self.withheld
         self.withheld = b""
         if not withheld:
-            self.fully_sent = True
+            self._on_fully_sent()
         elif self.attempt and self.transport and not self.transport.is_closing():
-            if not self.attempt.is_wanted():
-                self.close(AttemptStatus.NOT_SENT)
+            refusal = self.attempt.refusal_to_send()
+            if refusal:
+                self.close(refusal)
                 return
             self.transport.write(withheld)
-            self.fully_sent = self.transport.get_write_buffer_size() == 0
+            if self.transport.get_write_buffer_size() == 0:
+                self._on_fully_sent()
+
+    def _on_fully_sent(self) -> None:
+        """The kernel has the attempt's last byte."""
+        self.fully_sent = True
+        if self.attempt:
+            self.attempt.on_sent()
+
+    def _is_host_ready(self) -> bool:
+        """Whether the first byte may go; a host that is not ready was refused before."""
+        check = self.owner.telemetry.invariants.check
+        return self.host.is_ready or check(Invariant.NO_SEND_TO_UNREADY, False, repr(self.host.address))
 
     # ---- Receiving
 
@@ -273,6 +294,7 @@
         self.attempt = None
         if not self.closed:
             self.closed = True
+            self.owner.telemetry.metrics.count(Metric.UPSTREAM_CONNECTIONS_CLOSED, status.value)
             self.owner.count_buffered(self, -self.buffered_bytes)
             self.owner.on_closing(self)
             self._shut_down()
--- a/quota_gateway/net/upstream_host.py
+++ b/quota_gateway/net/upstream_host.py
@@ -27,11 +27,13 @@
 class UpstreamHost:
     """A server as discovery last described it. Each change that makes old connections useless is an epoch."""
 
-    __slots__ = ("address", "detached", "epoch", "idle", "listed", "started_ms")
+    __slots__ = ("address", "cell", "detached", "epoch", "idle", "listed", "started_ms", "zone")
 
     def __init__(self) -> None:
         self.address: Address = ("", 0)
         self.started_ms = 0.0
+        self.zone = ""
+        self.cell = 0
         self.epoch = 0
         self.listed = False  # as ready, by discovery
         self.detached = False  # by operators
@@ -50,6 +52,8 @@
         unchanged = self.address == address and self.started_ms == endpoint.started_ms
         self.address = address
         self.started_ms = endpoint.started_ms
+        self.zone = endpoint.zone
+        self.cell = endpoint.cell
         self.listed = endpoint.state is EndpointLifecycle.READY
         self.detached = detached
         if not (unchanged and self.is_ready):
--- a/quota_gateway/net/upstream_pool.py
+++ b/quota_gateway/net/upstream_pool.py
@@ -15,6 +15,7 @@
 from quota_gateway.net.reply_parser import ReplyParser
 from quota_gateway.net.upstream_connection import UpstreamConnection
 from quota_gateway.net.upstream_host import UpstreamHost
+from quota_gateway.telemetry import Telemetry
 
 __all__ = ["Attempt", "UpstreamConnection", "UpstreamPool", "UpstreamReply"]
 
@@ -31,9 +32,17 @@
         settings: The gateway's settings.
         max_connections: Connections, and descriptors, at a time, those of a peer process included.
         max_buffered_bytes: Bytes of replies that are not complete yet, over all connections.
+        telemetry: Of the process.
     """
 
-    def __init__(self, settings: Settings, max_connections: int, max_buffered_bytes: int) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        max_connections: int,
+        max_buffered_bytes: int,
+        telemetry: Telemetry | None = None,
+    ) -> None:
+        self.telemetry = telemetry or Telemetry()
         self.loop = asyncio.get_running_loop()
         self.connect_timeout_s = settings.limits.connect_timeout_ms / MS_PER_S
         self.idle_limit_s = settings.limits.connection_idle_ms / MS_PER_S * IDLE_SHARE
@@ -94,8 +103,9 @@
         if host is None or not host.is_ready:
             attempt.finish(UpstreamReply(AttemptStatus.CONNECT_FAILED))
             return
-        if not attempt.is_wanted():
-            attempt.finish(UpstreamReply(AttemptStatus.NOT_SENT))
+        refusal = attempt.refusal_to_send()
+        if refusal:
+            attempt.finish(UpstreamReply(refusal))
             return
         connection = host.take_idle(self.loop.time() - REUSE_DELAY_S)
         if connection:
--- a/quota_gateway/net/watch_connection.py
+++ b/quota_gateway/net/watch_connection.py
@@ -21,6 +21,7 @@
 from quota_gateway.net.endpoint_row import RegistryChange
 from quota_gateway.net.json_lines import HEARTBEAT, JsonLineReader
 from quota_gateway.net.snapshot_reader import StreamingSnapshotReader
+from quota_gateway.telemetry import Metric, Metrics
 
 log = logging.getLogger(__name__)
 
@@ -77,6 +78,7 @@
     address: Address
     registry: EndpointRegistry
     was_rejected: bool
+    metrics: Metrics
 
     def read_document(self, document: Any, connection: WatchConnection) -> bool:
         """Read one update at once; whether its watch goes on."""
@@ -137,6 +139,7 @@
         log.warning(
             "discovery watch ended host=%s port=%d reason=%s detail=%s", host, port, reason.value, detail
         )
+        self._watcher.metrics.count(Metric.DISCOVERY_WATCHES_ENDED, reason.value)
         if self._transport:
             self._transport.abort()
 
--- a/quota_gateway/policy/engine.py
+++ b/quota_gateway/policy/engine.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from quota_gateway.model import actions, events
+from quota_gateway.model.actions import AnswerReason
 from quota_gateway.model.events import AttemptStatus, UpdateKind
 from quota_gateway.model.settings import DiscoveryMode, Settings
 from quota_gateway.model.snapshot import EngineState
@@ -100,12 +101,13 @@
             return  # it is pending already, and may have been executed: a rejection would be its answer
         if request_class is None or plan is None:
             self._log_once(f"request rejected reason=unknown class={event.class_name!r} plan={event.plan!r}")
-            self.actions.append(actions.Reject(event.request_id))
+            self.actions.append(actions.Reject(event.request_id, reason=AnswerReason.UNKNOWN_CLASS_OR_PLAN))
             return
         customer = self.customer_table.use(event, plan)
         is_thin_retry = event.is_retry and self.quota.is_thin(customer, plan)
         if is_thin_retry or not self.admission.admits(customer, plan):
-            self.actions.append(actions.Reject(event.request_id))
+            reason = AnswerReason.THIN_RETRY if is_thin_retry else AnswerReason.UNKNOWN_CUSTOMER
+            self.actions.append(actions.Reject(event.request_id, reason=reason))
             return
         draw = self.random.random()
         pending = PendingRequest(event, request_class, plan, customer, self.clock.now_ms, draw)
@@ -113,7 +115,7 @@
         delay_ms = self.bucket.offer(pending, mean_ms)
         if delay_ms == inf:
             wait_ms = self.bucket.retry_after_ms(pending, mean_ms, self.latencies.last_start_ms(pending))
-            self.actions.append(actions.Reject(event.request_id, wait_ms))
+            self.actions.append(actions.Reject(event.request_id, wait_ms, AnswerReason.OVER_QUOTA))
             return
         pending.is_contended = self.in_flight_limit.on_arrival(customer, plan)
         self.requests[event.request_id] = pending
@@ -136,7 +138,7 @@
         turn_ms = self.in_flight_limit.turn_wait_ms(pending)
         is_too_late = wait_ms >= pending.deadline_ms - now_ms
         if is_too_late or turn_ms > max(0.0, self.latencies.last_start_ms(pending) - now_ms):
-            self._answer(pending)
+            self._answer(pending, AnswerReason.NO_PLACE_IN_TIME)
             return
         wait_ms = max(wait_ms, turn_ms)
         has_place = self.in_flight_limit.has_place(pending, self.quota.share(pending.customer))
@@ -154,13 +156,13 @@
             self._arm(max(0.0, time_left_ms), self._on_queue_timeout, pending, pending)
         to_shed = self.queue.to_shed(self.concurrency.limit) if self.endpoints.by_id else None
         if to_shed:
-            self._answer(to_shed)
+            self._answer(to_shed, AnswerReason.SHED)
         if wait_ms and not pending.is_closed:
             self._arm(wait_ms + self.settings.tick_ms, self._on_delay_over, pending, pending)
 
     def _on_queue_timeout(self, pending: PendingRequest) -> None:
         if pending.attempts == 0 and any(endpoint.is_ready for endpoint in self.endpoints.by_id.values()):
-            self._answer(pending)
+            self._answer(pending, AnswerReason.QUEUE_TIMEOUT)
 
     def _release_queued(self) -> None:
         for pending in self.queue.by_value():
@@ -214,7 +216,7 @@
         pending, number = which
         attempt = pending.in_flight.get(number)
         if attempt and not pending.is_streaming and self.latencies.is_lost(pending, attempt.started_ms):
-            self._answer(pending)
+            self._answer(pending, AnswerReason.ATTEMPT_LOST)
 
     def _on_outcome(self, event: events.Outcome) -> None:
         pending = self.requests.get(event.request_id)
@@ -259,14 +261,17 @@
         if endpoint:
             self._start(pending, endpoint, is_free)
         else:
-            self._answer(pending)
+            self._answer(pending, AnswerReason.NO_FURTHER_ATTEMPT)
 
-    def _answer(self, pending: PendingRequest) -> None:
+    def _answer(self, pending: PendingRequest, reason: AnswerReason) -> None:
         """The final answer: a rejection where a retry is harmless, else a failure."""
         if pending.is_closed:
             return
-        answer = actions.Reject if is_retry_harmless(pending) else actions.Fail
-        self.actions.append(answer(pending.request.request_id))
+        request_id = pending.request.request_id
+        if is_retry_harmless(pending):
+            self.actions.append(actions.Reject(request_id, reason=reason))
+        else:
+            self.actions.append(actions.Fail(request_id, reason))
         self._close(pending)
 
     def _close(self, pending: PendingRequest) -> None:
@@ -302,7 +307,7 @@
 
     def _on_deadline(self, pending: PendingRequest) -> None:
         if not pending.is_streaming:
-            self._answer(pending)
+            self._answer(pending, AnswerReason.DEADLINE)
 
     def _on_client_disconnected(self, event: events.ClientDisconnected) -> None:
         pending = self.requests.get(event.request_id)
--- a/quota_gateway/server.py
+++ b/quota_gateway/server.py
@@ -27,6 +27,7 @@
 from quota_gateway.net.upstream_pool import UpstreamPool
 from quota_gateway.policy.engine import PolicyEngine
 from quota_gateway.resources import divide_resources
+from quota_gateway.telemetry import Metric, Telemetry
 
 log = logging.getLogger("quota_gateway")
 
@@ -52,6 +53,7 @@
         self._stop_requested = asyncio.Event()
         self._reload_requested = asyncio.Event()
         self._reload_task: asyncio.Task[None] | None = None
+        self.telemetry = Telemetry()
         self._make_upstream_side()
         self._make_client_side()
 
@@ -66,13 +68,20 @@
         )
         self.engine = PolicyEngine(settings, self.config.seed)
         self.upstream = UpstreamPool(
-            settings, self.limits.max_upstream_connections, self.limits.max_buffered_bytes
+            settings,
+            self.limits.max_upstream_connections,
+            self.limits.max_buffered_bytes,
+            self.telemetry,
         )
         self.peers = PeerProcesses()
         self.driver = Driver(self.engine, self.upstream, Clock(), self.peers.notify_usage)
         self.registry = EndpointRegistry(self.engine.subset)
         self.discovery = DiscoveryClient(
-            self.registry, self._on_endpoint_update, self._on_discovery_unavailable, self.config.seed
+            self.registry,
+            self._on_endpoint_update,
+            self._on_discovery_unavailable,
+            self.config.seed,
+            self.telemetry.metrics,
         )
 
     def _make_client_side(self) -> None:
@@ -93,7 +102,7 @@
             self.detachments,
             self.peers,
         )
-        self.admin = AdminServer(self._is_ready, self.detachments.set_detached)
+        self.admin = AdminServer(self._is_ready, self.detachments.set_detached, self.telemetry.metrics)
 
     async def run(self) -> None:
         """Serve until a signal asks to stop, then answer what was accepted and return."""
@@ -102,6 +111,11 @@
             await self._start()
             await self._stop_requested.wait()
             await shut_down_gracefully(self.config.settings, self.driver, self.clients, self.handover)
+            log.info(
+                "shutdown complete answers=%d violations=%d",
+                self.telemetry.metrics.total(Metric.ANSWERS),
+                self.telemetry.metrics.total(Metric.INVARIANT_VIOLATIONS),
+            )
         finally:
             self._close()
 
@@ -124,6 +138,7 @@
         if not (state and self._take_over(state)):
             await self._start_alone()
         self.handover.wait()
+        self.telemetry.metrics.count(Metric.STATE_TRANSITIONS, "listening")
         log.info("listening host=%s port=%d", *self.config.listen)
 
     def _initial_endpoints(self, state: HandoverState | None) -> object:
--- /dev/null
+++ b/quota_gateway/telemetry/event_trace.py
@@ -0,0 +1,45 @@
+"""The last events of one process in memory, so that a violation is logged with what led to it."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from typing import NamedTuple
+
+MAX_EVENTS = 4096  # some seconds of a busy gateway, in half a megabyte
+MAX_SHOWN_EVENTS = 12  # of one request in a line of the log
+
+
+class TracedEvent(NamedTuple):
+    """One event: when it was, which request or connection it is of, and what happened."""
+
+    at_s: float  # monotonic
+    subject: str
+    what: str
+    detail: object
+
+
+class EventTrace:
+    """A ring of the last events."""
+
+    __slots__ = ("_events",)
+
+    def __init__(self) -> None:
+        self._events: deque[TracedEvent] = deque(maxlen=MAX_EVENTS)
+
+    def add(self, subject: str, what: str, detail: object = "") -> None:
+        """Note an event."""
+        self._events.append(TracedEvent(time.monotonic(), subject, what, detail))
+
+    def of(self, subject: str) -> list[TracedEvent]:
+        """The events of one request or connection that are still held, the oldest first."""
+        return [event for event in self._events if event.subject == subject]
+
+    def describe(self, subject: str) -> str:
+        """The last events of one subject in a line: milliseconds before now, what happened, its detail."""
+        now_s = time.monotonic()
+        shown = self.of(subject)[-MAX_SHOWN_EVENTS:]
+        return " ".join(
+            f"{(event.at_s - now_s) * 1000.0:.1f}:{event.what}{f'({event.detail})' if event.detail else ''}"
+            for event in shown
+        )
--- a/tests/net/test_detachments.py
+++ b/tests/net/test_detachments.py
@@ -12,6 +12,7 @@
 from quota_gateway.net.admin import AdminResponse, AdminServer
 from quota_gateway.net.discovery_client import EndpointRegistry
 from quota_gateway.net.upstream_pool import Attempt, UpstreamReply
+from quota_gateway.telemetry import Metric
 from tests.support.admin_calls import encode_post, send_admin_call
 from tests.support.engine_harness import make_endpoint, make_harness
 from tests.support.fake_discovery import make_instance
@@ -172,6 +173,14 @@
         assert calls == [("s-1", True), ("s-1", False)]
 
 
+async def test_admin_call_for_metrics_gives_every_counter():
+    async with run_admin_server() as (port, _, server):
+        server.metrics.count(Metric.ANSWERS, "served")
+        response = await send_admin_call(port, b"GET /_metrics HTTP/1.1\r\n\r\n")
+        assert b'quota_gateway_answers_total{reason="served"} 1\n' in response
+        assert response.count(b"# TYPE quota_gateway_") == len(Metric)
+
+
 @pytest.mark.parametrize(
     ("data", "status"),
     [
@@ -179,6 +188,7 @@
         (encode_post("/_servers/attach", b"other"), 404),
         (encode_post("/_servers/drain", b"s-1"), 404),
         (encode_post("/_ready", b""), 405),
+        (encode_post("/_metrics", b""), 405),
         (encode_post("/_servers/detach", b""), 400),
         (b"GET /_servers/detach HTTP/1.1\r\n\r\n", 405),
         (b"GET / HTTP/1.1\r\n\r\n", 404),
--- a/tests/support/gateway_node.py
+++ b/tests/support/gateway_node.py
@@ -57,6 +57,7 @@
     usage_period_ms=1000.0,
     tick_ms=2.0,
 )
+HEDGING_LIMITS = replace(SETTINGS.limits, may_duplicate=True)  # for tests with two attempts in flight
 
 
 async def wait_until(condition: Callable[[], object]) -> None:
