Add the fault soak: real processes on loopback, overlapping troubles, the invariants as oracle

Every process records; the oracle judges by docs/invariants.md. python -m soak planted runs gateways with planted faults, each of which a check has to meet.

--- a/scale/child.py
+++ b/scale/child.py
@@ -10,7 +10,7 @@
 import os
 import resource
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import msgspec
@@ -45,7 +45,7 @@
     os._exit(0)
 
 
-async def serve(role_name: str) -> None:
+async def serve(make_role: Callable[..., Any]) -> None:
     """Make the role with the first command's arguments, then carry out one command after the other."""
     commands: asyncio.Queue[bytes] = asyncio.Queue()
     reading = asyncio.create_task(_read_commands(commands), name="read commands")
@@ -54,7 +54,7 @@
         command = msgspec.json.decode(await commands.get(), type=ChildCommand)
         try:
             if role is None:
-                role = ROLES[role_name](**command.arguments)
+                role = make_role(**command.arguments)
                 answer = await role.start()
             else:
                 answer = await getattr(role, command.name)(**command.arguments)
@@ -65,14 +65,14 @@
         sys.stdout.buffer.flush()
 
 
-def main() -> None:
-    """Serve until the input ends."""
+def run_child(roles: Mapping[str, Callable[..., Any]]) -> None:
+    """Serve the role that the first argument of the command line names, until the input ends."""
     _, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard_limit, hard_limit))
     # A fleet that has lost its watches would fill the log.
     logging.getLogger("quota_gateway").setLevel(logging.CRITICAL)
-    uvloop.run(serve(sys.argv[1]))
+    uvloop.run(serve(roles[sys.argv[1]]))
 
 
 if __name__ == "__main__":
-    main()
+    run_child(ROLES)
--- a/scale/child_process.py
+++ b/scale/child_process.py
@@ -78,6 +78,11 @@
         """Whether it has not ended yet."""
         return self._process.returncode is None
 
+    @property
+    def exit_code(self) -> int:
+        """Its exit code, negative for a signal; 0 while it runs."""
+        return self._process.returncode or 0
+
     def usage(self) -> ResourceUsage:
         """Return what it has used by now.
 
--- a/scale/supervisor.py
+++ b/scale/supervisor.py
@@ -12,12 +12,11 @@
 from contextlib import suppress
 from pathlib import Path
 from types import TracebackType
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 
 import structlog
 
 from scale.child_process import CALL_TIMEOUT_S, MEBIBYTE, ChildProcess, RoleProcess
-from scale.config import Config
 from scale.messages import MAXIMUM_LINE_BYTES
 
 REPOSITORY = Path(__file__).parent.parent
@@ -30,6 +29,22 @@
 Reply = TypeVar("Reply")
 
 
+SCALE_CHILD_MODULE = "scale.child"
+"""The module that makes a child of a role."""
+
+
+class SupervisorLimits(Protocol):
+    """What all children of a run together may take."""
+
+    @property
+    def processes(self) -> int:
+        """The most children at a time."""
+
+    @property
+    def memory_mb(self) -> int:
+        """The most resident memory of all."""
+
+
 class LimitError(RuntimeError):
     """The children would take more processes than the configuration allows."""
 
@@ -40,9 +55,10 @@
     SIGINT and SIGTERM cancel the task that entered the context.
 
     Args:
-        config: The run's configuration.
+        config: The run's limits.
         log_folder: Where the children's logs go.
         log: The run's log.
+        child_module: The module that makes a child of a role.
 
     Attributes:
         log_folder: Where the children's logs go.
@@ -52,7 +68,14 @@
         program_count: How many programs were started.
     """
 
-    def __init__(self, config: Config, log_folder: Path, log: structlog.typing.FilteringBoundLogger) -> None:
+    def __init__(
+        self,
+        config: SupervisorLimits,
+        log_folder: Path,
+        log: structlog.typing.FilteringBoundLogger,
+        child_module: str = SCALE_CHILD_MODULE,
+    ) -> None:
+        self._child_module = child_module
         self.log_folder = log_folder
         self.stop_reason = ""
         self.peak_rss_bytes = 0
@@ -154,7 +177,7 @@
         """
         process = await self._start(
             role,
-            [sys.executable, "-m", "scale.child", role],
+            [sys.executable, "-m", self._child_module, role],
             "children.log",
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
--- /dev/null
+++ b/soak/child.py
@@ -0,0 +1,19 @@
+"""A child of a soak: one of its roles, commanded as the children of a scale run are."""
+
+from __future__ import annotations
+
+from scale.child import run_child
+from soak.clients import SoakClients
+from soak.discovery import SoakDiscovery
+from soak.proxy import FaultProxy
+from soak.servers import SoakServers
+
+if __name__ == "__main__":
+    run_child(
+        {
+            "clients": SoakClients,
+            "discovery": SoakDiscovery,
+            "proxy": FaultProxy,
+            "servers": SoakServers,
+        }
+    )
--- /dev/null
+++ b/soak/discovery.py
@@ -0,0 +1,75 @@
+"""Discovery of a soak: a list whose changes are recorded, at an address that can move."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+
+from scale.discovery_connection import DiscoveryConnection
+from scale.discovery_state import DiscoveryState
+from scale.endpoint_catalog import ListedEndpoint
+from soak.records import EndpointChange
+
+OLD_ADDRESS_GRACE_S = 1.5
+"""TERMS: connections at the old address close so long after it has moved."""
+
+
+class SoakDiscovery:
+    """Discovery as gateways see it; a child's role."""
+
+    def __init__(self, endpoints: list[dict[str, object]]) -> None:
+        self._state = DiscoveryState(msgspec.convert(endpoints, list[ListedEndpoint]))
+        self._listener: asyncio.Server | None = None
+        self._endpoints = dict(self._state.catalog.endpoints)  # as they were listed last
+        self._changes: list[EndpointChange] = []
+
+    async def start(self) -> int:
+        """Listen; return the port."""
+        self._listener = await asyncio.get_running_loop().create_server(
+            lambda: DiscoveryConnection(self._state), "127.0.0.1", 0
+        )
+        return int(self._listener.sockets[0].getsockname()[1])
+
+    async def move(self) -> int:
+        """Listen at another port alone; return it. What is connected at the old one closes a little later."""
+        old_listener, old_connections = self._listener, tuple(self._state.connections)
+        port = await self.start()
+        if old_listener:
+            old_listener.close()
+        loop = asyncio.get_running_loop()
+        for connection in old_connections:
+            loop.call_later(OLD_ADDRESS_GRACE_S, connection.abort)
+        return port
+
+    async def publish(self, server: str, lifecycle: str, started_at_ms: int = -1) -> None:
+        """Publish a server's new lifecycle, and its start where that is given."""
+        endpoint = self._endpoints[server]
+        if started_at_ms >= 0:
+            endpoint = msgspec.structs.replace(endpoint, started_at_ms=started_at_ms)
+        endpoint = msgspec.convert({**msgspec.to_builtins(endpoint), "lifecycle": lifecycle}, ListedEndpoint)
+        self._endpoints[server] = endpoint
+        self._changes.append(EndpointChange(server, lifecycle, time.monotonic()))
+        self._state.publish([endpoint])
+
+    async def set_silent(self, silent: bool) -> None:
+        """Say nothing on any connection, or go on."""
+        if silent:
+            self._state.is_silent = True
+        else:
+            self._state.end_silence()
+
+    async def set_refusing(self, refusing: bool) -> None:
+        """Answer every call with 503 and end all watches, or go on."""
+        self._state.is_refusing = refusing
+        if refusing:
+            self._state.drop_watches()
+
+    async def drop_watches(self) -> None:
+        """End all watches once."""
+        self._state.drop_watches()
+
+    async def records(self) -> list[EndpointChange]:
+        """Return the changes that were published."""
+        return self._changes
--- /dev/null
+++ b/soak/planted.py
@@ -0,0 +1,182 @@
+"""A gateway with a planted fault, by which a soak shows that its oracle would meet one."""
+
+from __future__ import annotations
+
+import os
+import random
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from quota_gateway import __main__ as gateway_main
+from quota_gateway import server as gateway_server
+from quota_gateway.model import AttemptStatus, EndpointLifecycle
+from quota_gateway.net import request_guard
+from quota_gateway.net.client_connection import ClientConnection
+from quota_gateway.net.client_listener import ClientListener
+from quota_gateway.net.driver import Driver
+from quota_gateway.net.upstream_host import UpstreamHost
+from quota_gateway.policy import engine, retries
+from quota_gateway.policy.endpoints import EndpointTable
+from quota_gateway.policy.slow_start import SlowStart
+
+RARE_SHARE = 0.01
+EXTRA_TIMEOUT_MS = 400.0
+
+# Any: each planted fault takes the place of a method, whatever its signature.
+Patched = Callable[..., Any]
+
+
+def _disable_guard() -> None:
+    guard: Any = request_guard.RequestGuard
+    guard.may_start = lambda _self, _attempt: True
+    guard.may_reject = lambda _self, _request: True
+    guard.refusal_to_send = lambda _self, _attempt: None
+
+
+def _extend_deadline() -> None:
+    original: Patched = Driver._start_attempt
+
+    def start(self: Driver, action: Any) -> None:
+        request = self.active_requests.get(action.request_id)
+        if request and not request.attempt_count:
+            encode = request.encode
+            request.encode = lambda timeout_ms: encode(timeout_ms + EXTRA_TIMEOUT_MS)
+        original(self, action)
+
+    Driver._start_attempt = start  # type: ignore[method-assign]
+
+
+def _repeat_unsafe() -> None:
+    _disable_guard()
+    original: Patched = retries.RetryBudget.on_failure
+
+    def on_failure(self: Any, pending: Any, status: AttemptStatus, attempt: Any) -> bool:
+        is_reset = status in (AttemptStatus.RESET, AttemptStatus.ERROR)
+        return bool(original(self, pending, AttemptStatus.CONNECT_FAILED if is_reset else status, attempt))
+
+    retries.RetryBudget.on_failure = on_failure  # type: ignore[method-assign]
+
+
+def _ignore_client_end() -> None:
+    connection: Any = ClientConnection
+    connection._has_disconnected = lambda _self: False
+    connection.eof_received = lambda _self: True
+
+
+def _drop_answers() -> None:
+    original: Patched = Driver._answer
+
+    def answer(self: Driver, request: Any, data: bytes) -> None:
+        if random.random() < RARE_SHARE:
+            request.answered = True
+        else:
+            original(self, request, data)
+
+    driver: Any = Driver
+    driver._answer = answer
+
+
+def _ignore_drain() -> None:
+    original: Patched = UpstreamHost.update
+    take: Patched = EndpointTable._apply_detachment
+
+    def update(self: UpstreamHost, endpoint: Any, address: Any, detached: bool) -> None:
+        original(self, endpoint, address, detached)
+        self.listed = endpoint.state is not EndpointLifecycle.GONE
+
+    def apply(self: EndpointTable, state: Any) -> None:
+        state.is_ready = state.is_listed = True
+        take(self, state)
+
+    UpstreamHost.update = update  # type: ignore[method-assign]
+    EndpointTable._apply_detachment = apply  # type: ignore[method-assign]
+
+
+def _ignore_detach() -> None:
+    table: Any = EndpointTable
+    table.detach = lambda _self, _number, _since_ms=None: True
+    driver: Any = Driver
+    driver._set_server_detached = lambda _self, _action: None
+
+
+def _reject_after_run() -> None:
+    _disable_guard()
+    module: Any = engine
+    module.is_retry_harmless = lambda _pending: True
+
+
+def _mix_values() -> None:
+    original: Patched = Driver._answer
+
+    def answer(self: Driver, request: Any, data: bytes) -> None:
+        is_value = data.startswith(b"$16\r\n")
+        original(
+            self,
+            request,
+            b"$16\r\n" + 16 * b"0" + b"\r\n" if is_value and random.random() < RARE_SHARE else data,
+        )
+
+    driver: Any = Driver
+    driver._answer = answer
+
+
+def _close_queue_unread() -> None:
+    def stop_listening(self: Any) -> None:
+        self._stop_accepting()
+        if self.listening_socket:
+            self.listening_socket.close()
+            self.listening_socket = None
+        self.is_stopping = True
+        for connection in list(self.connections):
+            connection.flush()
+
+    module: Any = gateway_server
+    module.ACCEPT_PERIOD_S = 0.0
+    ClientListener.stop_listening = stop_listening  # type: ignore[method-assign]
+
+
+def _crash_on_reload() -> None:
+    def crash(*_: object) -> None:
+        os._exit(3)
+
+    module: Any = gateway_server
+    module.reload_discovery_address = crash
+
+
+def _ignore_slow_start() -> None:
+    table: Any = SlowStart
+    table.capacity_share = lambda _self, _endpoint: 1.0
+
+
+def _close_while_owed() -> None:
+    original: Patched = ClientConnection.flush
+
+    def flush(self: ClientConnection) -> None:
+        if self.owes_answer() and random.random() < RARE_SHARE:
+            self.abort()
+        original(self)
+
+    ClientConnection.flush = flush  # type: ignore[method-assign]
+
+
+PLANTED_FAULTS: dict[str, tuple[Callable[[], None], str]] = {
+    "extend_deadline": (_extend_deadline, "deadline"),
+    "repeat_unsafe": (_repeat_unsafe, "repeat"),
+    "ignore_client_end": (_ignore_client_end, "client_gone"),
+    "drop_answers": (_drop_answers, "answered"),
+    "ignore_drain": (_ignore_drain, "drain"),
+    "ignore_detach": (_ignore_detach, "detached"),
+    "reject_after_run": (_reject_after_run, "reject"),
+    "mix_values": (_mix_values, "value"),
+    "close_queue_unread": (_close_queue_unread, "answered"),
+    "crash_on_reload": (_crash_on_reload, "process"),
+    "ignore_slow_start": (_ignore_slow_start, "slow_start"),
+    "close_while_owed": (_close_while_owed, "process"),
+}
+"""The planted faults by name: what plants one, and the oracle's check that is due to meet it."""
+
+
+if __name__ == "__main__":
+    PLANTED_FAULTS[os.environ["SOAK_PLANTED"]][0]()
+    sys.exit(gateway_main.main())
--- a/tests/unit/test_resources.py
+++ b/tests/unit/test_resources.py
@@ -1,5 +1,6 @@
 """How descriptors and memory are divided, as figures."""
 
+import gc
 import os
 from pathlib import Path
 
@@ -60,6 +61,7 @@
 
 
 def test_open_descriptors_are_counted():
+    gc.collect()  # sockets that earlier tests have left would be closed between the counts
     before = resources.count_open_descriptors()
     nothing = Path(os.devnull)
     with nothing.open() as _first, nothing.open() as _second:
