--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,9 @@
 import pytest
 
 from tests.support.engine_harness import EngineHarness, make_endpoint
+from tests.support.known_failures import pytest_collection_modifyitems, pytest_terminal_summary
+
+__all__ = ["harness", "pytest_collection_modifyitems", "pytest_terminal_summary"]
 
 
 @pytest.fixture
