Notice that a successor died, and go on handing over when descriptors are short

The event loop reports a reset of the process channel once and calls no reader afterwards; the reader took the reset for a sign that more would come, and waited. It reads on now until the end, also where a write has met the reset first. The same mistake elsewhere: a failed dup while the state is sent left the process suspended, one while connections are passed on ended the passing, and a short buffer dropped what was queued, descriptors included.

--- a/quota_gateway/net/client_connection.py
+++ b/quota_gateway/net/client_connection.py
@@ -330,12 +330,15 @@
 
         Returns:
             A descriptor that is the caller's to close, and what went before; None while something is owed.
+
+        Raises:
+            OSError: The descriptor can't be duplicated now; the connection is as it was.
         """
         transport = self.transport
         if transport is None or transport.is_closing() or not self._is_releasable(transport):
             return None
-        transport.pause_reading()
         descriptor = os.dup(self.socket.fileno())
+        transport.pause_reading()
         resumed = ResumedConnection(
             has_sent_command=self.intake.has_sent_command,
             request_count=self.intake.request_count,
--- a/quota_gateway/net/handover_sender.py
+++ b/quota_gateway/net/handover_sender.py
@@ -120,6 +120,11 @@
         if self.clients.listening_socket is None:
             channel.close("this process has stopped listening")
             return
+        try:
+            listening_socket = os.dup(self.clients.listening_socket.fileno())
+        except OSError as error:
+            channel.close(f"the listening socket can not be handed over: {error!r}")
+            return
         log.info("handover requested")
         self._enter(SenderState.STATE_SENT)
         self.peers.next = channel
@@ -127,7 +132,6 @@
         channel.set_receiver(lambda message: self._on_message(channel, message))
         self.clients.suspend()
         offer = HandoverOffer(self.driver.export_state(), self.registry.export_state())
-        listening_socket = os.dup(self.clients.listening_socket.fileno())
         channel.send(ChannelMessage(offer.to_json(), offer.encode_body(), listening_socket))
         self._reported = None
         self._report_descriptors(channel)
@@ -184,7 +188,11 @@
             self._next_pass = self.loop.call_later(PASS_INTERVAL_S, self._pass_connections, channel)
 
     def _pass_connection(self, channel: ProcessChannel, client: ClientConnection) -> None:
-        released = client.release()
+        try:
+            released = client.release()
+        except OSError as error:  # of descriptors, for a moment: it is looked at again
+            log.warning("connection not passed on reason=%r", error)
+            return
         if released is None:
             return
         descriptor, resumed = released
--- a/quota_gateway/net/process_channel.py
+++ b/quota_gateway/net/process_channel.py
@@ -16,6 +16,7 @@
 from typing import Any, NamedTuple
 
 from quota_gateway.errors import HandoverError
+from quota_gateway.net.transient_errors import SHORTAGE_ERRORS
 
 log = logging.getLogger(__name__)
 
@@ -23,6 +24,7 @@
 MAX_MESSAGE_BYTES = 32 * 1024 * 1024  # a message without end is cut
 MORE_FOLLOWS = b"+"  # the first byte of a packet
 LAST_PACKET = b"."
+WRITE_RETRY_S = 0.005  # after the system was short of memory or descriptors
 MAX_DESCRIPTORS_READ = 2  # of a packet: one is due, and one too many is noticed and closed
 
 
@@ -94,6 +96,7 @@
         self.on_end: Callable[[], None] = _ignore_end
         self.closed = False
         self._write_failed = False
+        self._was_reset = False
         self._outgoing: deque[_Packet] = deque()
         self._pieces: list[bytes] = []  # of a message that has not come whole
         self._descriptor: int | None = None  # of that message
@@ -135,15 +138,29 @@
             except BlockingIOError:
                 self.loop.add_writer(self.sock, self._write)
                 return
-            except OSError:  # it has ended: what it sent before that is still to be read, up to its end
-                self._write_failed = True
-                self._drop_outgoing()
+            except OSError as error:
+                self._on_write_error(error)
                 return
             self._outgoing.popleft()
             _close_descriptor(packet.descriptor)
         if not self.closed:
             self.loop.remove_writer(self.sock)
 
+    def _on_write_error(self, error: OSError) -> None:
+        """Try again where the system is short of something; else the other process has ended.
+
+        What that sent before is still to be read, up to its end. The error may be the reset itself, of which
+        the reader is not told then.
+        """
+        if error.errno in SHORTAGE_ERRORS:
+            self.loop.remove_writer(self.sock)
+            self.loop.call_later(WRITE_RETRY_S, self._write)
+            return
+        self._write_failed = True
+        self._drop_outgoing()
+        self._was_reset = True
+        self.loop.call_soon(self._read_after_reset)
+
     def _drop_outgoing(self) -> None:
         self.loop.remove_writer(self.sock)
         for packet in self._outgoing:
@@ -154,10 +171,12 @@
 
     def _on_readable(self) -> None:
         try:
-            data, descriptors, flags, _ = socket.recv_fds(self.sock, PIECE_BYTES + 1, MAX_DESCRIPTORS_READ)
-        except (BlockingIOError, ConnectionResetError):
-            return  # a reset tells that it ended with something unread; what it sent comes all the same
+            data, descriptors, flags, _ = self._receive()
+        except BlockingIOError:
+            return
         except OSError as error:
+            if error.errno in SHORTAGE_ERRORS:
+                return  # the loop calls again, as what has come is still there
             self.close(f"can't be read: {error!r}")
             return
         for descriptor in descriptors:
@@ -169,6 +188,25 @@
             self.close("the other process ended it")
             return
         self._on_packet(data, is_truncated=bool(flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC)))
+        if self._was_reset and not self.closed:
+            self.loop.call_soon(self._read_after_reset)
+
+    def _read_after_reset(self) -> None:
+        """Read on, up to the end, though the loop does not call any more."""
+        if not self.closed:
+            self._on_readable()
+
+    def _receive(self) -> tuple[bytes, list[int], int, Any]:
+        """Read one packet.
+
+        A reset tells that the other process ended with something unread. What it has sent, and its end, are
+        still to be read, now: the loop reports such an end once and calls no reader afterwards.
+        """
+        try:
+            return socket.recv_fds(self.sock, PIECE_BYTES + 1, MAX_DESCRIPTORS_READ)
+        except ConnectionResetError:
+            self._was_reset = True
+            return socket.recv_fds(self.sock, PIECE_BYTES + 1, MAX_DESCRIPTORS_READ)
 
     def _on_packet(self, data: bytes, is_truncated: bool) -> None:
         mark = data[:1]
@@ -210,7 +248,7 @@
             message = self._received.popleft()
             try:
                 self._receiver(message)
-            except (ValueError, KeyError, TypeError, AttributeError) as error:
+            except (ValueError, KeyError, TypeError, AttributeError, OSError) as error:
                 # beside a malformed message: a state that can't be written must not leave its process idle
                 self.close(f"malformed message: {error!r}")
             finally:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -220,6 +220,8 @@
     # ---- Requests
 
     async def _request(self, connection: SoakConnection) -> None:
+        if connection.reader.at_eof():
+            raise EOFError
         data, record = self._make_command(connection)
         connection.writer.write(data)
         await self._read_answers(connection, self._sent(connection, [record]))
--- /dev/null
+++ b/tests/net/test_handover_faults.py
@@ -0,0 +1,62 @@
+"""A handover during which the system refuses descriptors."""
+
+import errno
+import os
+
+from quota_gateway.net import client_connection, handover_sender
+from quota_gateway.net.handover import request_handover
+from quota_gateway.net.handover_sender import SenderState
+from tests.support.gateway_node import run_gateway, wait_until
+from tests.support.resp_encoding import encode_command
+
+
+class FailingDup:
+    """Takes the place of the module ``os``, whose ``dup`` fails a number of times."""
+
+    def __init__(self, failures):
+        self.failures = failures
+
+    def __getattr__(self, name):
+        return getattr(os, name)
+
+    def dup(self, descriptor):
+        """Duplicate a descriptor, or fail as if none were left."""
+        if self.failures:
+            self.failures -= 1
+            raise OSError(errno.EMFILE, "fault of the test")
+        return os.dup(descriptor)
+
+
+async def test_process_that_can_not_hand_over_its_listener_serves_on(tmp_path, monkeypatch):
+    async with run_gateway() as old:
+        old.handover.sender.path = tmp_path / "rendezvous"
+        old.handover.wait()
+        monkeypatch.setattr(handover_sender, "os", FailingDup(1))
+        assert await request_handover(old.handover.path) is None
+        assert not old.client_listener.is_suspended
+        assert old.handover.sender.state is SenderState.LISTENING
+        assert await (await old.connect_client()).request(encode_command("PING")) == b"PONG"
+        handover_state = await request_handover(old.handover.path)  # the next one gets it
+        assert handover_state is not None
+        handover_state.listener.close()
+        handover_state.channel.close("the test is over")
+        await wait_until(lambda: old.handover.sender.state is SenderState.LISTENING)
+
+
+async def test_connection_is_passed_on_once_descriptors_are_left(tmp_path, monkeypatch):
+    async with run_gateway() as old, run_gateway() as new:
+        old.handover.sender.path = new.handover.sender.path = tmp_path / "rendezvous"
+        old.handover.wait()
+        clients = [await old.connect_client() for _ in range(3)]
+        for client in clients:
+            assert await client.request(encode_command("PING")) == b"PONG"
+        handover_state = await request_handover(new.handover.path)
+        monkeypatch.setattr(client_connection, "os", FailingDup(2))
+        new.handover.took_over(handover_state, 0)
+        await wait_until(lambda: len(new.client_listener.connections) == 3)
+        assert not old.client_listener.connections
+        for client in clients:
+            assert await client.request(encode_command("PING")) == b"PONG"
+        old.handover.close()
+        await wait_until(lambda: new.peers.previous is None)
+        handover_state.listener.close()
--- a/tests/net/test_process_channel.py
+++ b/tests/net/test_process_channel.py
@@ -1,6 +1,7 @@
 """The channel between two processes of one gateway, where one of them dies or the system fails."""
 
 import asyncio
+import errno
 import socket
 
 from quota_gateway.net.process_channel import ChannelMessage, ProcessChannel
@@ -15,3 +16,26 @@
     channel.send(ChannelMessage({"kind": "unread"}))
     theirs.close()
     await asyncio.wait_for(ended.wait(), END_TIMEOUT_S)
+
+
+async def test_message_is_sent_once_the_system_has_buffers_again():
+    ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    channel, received = ProcessChannel(ours), asyncio.get_running_loop().create_future()
+    other = ProcessChannel(theirs)
+    other.set_receiver(lambda message: received.set_result(message.header))
+    errors = [errno.ENOBUFS, errno.ENOMEM]
+
+    class ShortOfBuffers:
+        def __getattr__(self, name):
+            return getattr(ours, name)
+
+        def send(self, data):
+            if errors:
+                raise OSError(errors.pop(), "fault of the test")
+            return ours.send(data)
+
+    channel.sock = ShortOfBuffers()
+    channel.send(ChannelMessage({"kind": "late"}))
+    assert await asyncio.wait_for(received, END_TIMEOUT_S) == {"kind": "late"}
+    channel.close("the test is over")
+    other.close("the test is over")
