Accept through passing errors, empty the queue before closing it, count time from arrival

Connections in admission were not waited for either. And a client's time was counted from the reading of its command, however long that had waited in the kernel or in the gateway's own buffer.

Time counts from when a command came: a lower bound for what waited, made exact by TCP_INFO.

--- /dev/null
+++ b/quota_gateway/net/arrival.py
@@ -0,0 +1,83 @@
+"""When bytes came that are read only now: docs/decisions/arrival-time.md.
+
+All times are of the monotonic clock, in seconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import time
+
+NEGLIGIBLE_S = 0.03  # a wait that is not corrected for: far below what a deadline may be off by
+BACKLOG_READ_S = 0.05  # after reading was resumed, what came before has been read
+MIN_POLL_DELAY_S = 0.001  # of a timer that falls due after the loop has looked for input once
+
+# struct tcp_info of linux/tcp.h: the milliseconds since data came last stand behind eight bytes of flags and
+# eleven numbers of four bytes.
+TCP_INFO_BYTES = 56
+LAST_DATA_RECEIVED = struct.Struct("@52xI")
+MS_PER_S = 1000.0
+
+
+def seconds_since_data(sock: socket.socket) -> float | None:
+    """How long ago the kernel got data on a connection last; None where it does not tell."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except OSError:
+        return None
+    if len(info) < LAST_DATA_RECEIVED.size:
+        return None
+    (milliseconds,) = LAST_DATA_RECEIVED.unpack_from(info)
+    return float(milliseconds) / MS_PER_S
+
+
+def arrival_s(sock: socket.socket, earliest_s: float) -> float:
+    """When what is read now on a connection came.
+
+    Args:
+        sock: The connection.
+        earliest_s: A time before which it can't have come.
+
+    Returns:
+        Now, unless it may have waited for longer than is negligible; then what the kernel tells, or the
+        earliest time where it tells nothing.
+    """
+    now_s = time.monotonic()
+    if now_s - earliest_s <= NEGLIGIBLE_S:
+        return now_s
+    age_s = seconds_since_data(sock)
+    return earliest_s if age_s is None else max(earliest_s, now_s - age_s)
+
+
+class StallDetector:
+    """Notices that the process was held up, by a periodic call that comes late.
+
+    Args:
+        interval_s: The time between two calls of ``tick``.
+    """
+
+    def __init__(self, interval_s: float) -> None:
+        self._interval_s = interval_s
+        self._last_tick_s = time.monotonic()
+        self._stalled_since_s: float | None = None  # until the loop has looked for input once more
+
+    def tick(self) -> None:
+        """Note that the loop goes on."""
+        now_s = time.monotonic()
+        if now_s - self._last_tick_s > self._interval_s + NEGLIGIBLE_S:
+            self._stalled_since_s = self._last_tick_s
+            asyncio.get_running_loop().call_later(MIN_POLL_DELAY_S, self._on_input_read)
+        self._last_tick_s = now_s
+
+    def earliest_s(self) -> float:
+        """The time after which anything has come that is read now."""
+        if self._stalled_since_s is not None:
+            return self._stalled_since_s
+        now_s = time.monotonic()
+        is_held_up = now_s - self._last_tick_s > self._interval_s + NEGLIGIBLE_S
+        return self._last_tick_s if is_held_up else now_s
+
+    def _on_input_read(self) -> None:
+        self._stalled_since_s = None
--- a/quota_gateway/net/client_connection.py
+++ b/quota_gateway/net/client_connection.py
@@ -10,6 +10,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from typing import Protocol, cast
 
 from quota_gateway import model as api
@@ -55,6 +56,7 @@
     request_count: int = 0  # so far
     command_due_for_s: float = 0.0  # for how long a command has been due
     partial_command: bytes = b""  # what was read of a command that is not complete yet
+    waiting_since_s: float = inf  # monotonic; what is read first can not have come before
 
 
 NEW_CONNECTION = ResumedConnection()
@@ -84,7 +86,9 @@
         self.is_closing = False  # no more commands are taken
         self.must_linger = False  # what still comes is not read, and would turn a close into a reset
         self.is_write_blocked = False
-        self.intake = CommandIntake(owner, resumed.has_sent_command, resumed.request_count)
+        self.intake = CommandIntake(
+            owner, resumed.has_sent_command, resumed.request_count, resumed.waiting_since_s
+        )
         self._owner = owner
         self._resumed = resumed
         self._unsent_bytes = 0  # what the client had not taken when it stopped to
@@ -344,6 +348,7 @@
             request_count=self.intake.request_count,
             command_due_for_s=self._owner.idle_connections.command_due_for_s(self),
             partial_command=bytes(self.intake.reader.buffer),
+            waiting_since_s=self.intake.waiting_since_s,
         )
         self.abort(CloseReason.PASSED_ON)
         return descriptor, resumed
--- a/quota_gateway/net/client_listener.py
+++ b/quota_gateway/net/client_listener.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import socket
 
 from quota_gateway import model as api
+from quota_gateway.net.acceptor import Acceptor, AcceptorOwner
+from quota_gateway.net.arrival import StallDetector
 from quota_gateway.net.buffer_budget import BufferBudget
-from quota_gateway.net.client_connection import NEW_CONNECTION, ClientConnection, ResumedConnection
+from quota_gateway.net.client_connection import ClientConnection, ResumedConnection
 from quota_gateway.net.commands import RequestParser
 from quota_gateway.net.driver import Driver
 from quota_gateway.net.idle_connections import IdleConnections
+from quota_gateway.net.transient_errors import errno_name
 from quota_gateway.telemetry import Metric
 
 __all__ = ["ClientConnection", "ClientListener", "ResumedConnection"]
@@ -21,10 +23,9 @@
 
 SWEEP_INTERVAL_S = 0.1  # between two looks at who is overdue: short against the shortest time-out
 LISTEN_BACKLOG = 1024  # connections that wait in the kernel: all that come while there is no room
-MAX_ACCEPTS_PER_TURN = 32  # connections accepted before the others have their turn
 
 
-class ClientListener:
+class ClientListener(AcceptorOwner):
     """The listening socket and the connections accepted from it, bounded in number and in memory."""
 
     def __init__(
@@ -38,11 +39,10 @@
         self.idle_connections = IdleConnections()
         self.descriptors_in_use = 0  # from accepting until the loop has closed them
         self.peer_connections = 0  # of the other process of this gateway
-        self.listening_socket: socket.socket | None = None
         self.is_ready = False  # whether an endpoint list is known
         self.is_stopping = False  # each connection closes once nothing is owed on it
-        self.is_accepting = False
-        self.is_suspended = False  # another process serves: nothing is accepted or read here
+        self.acceptor = Acceptor(self)
+        self.stalls = StallDetector(SWEEP_INTERVAL_S)
         self.loop = asyncio.get_running_loop()
         self._admission_tasks: set[asyncio.Task[None]] = set()
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -58,6 +58,21 @@
 
     # ---- Listening and accepting
 
+    @property
+    def listening_socket(self) -> socket.socket | None:
+        """The listening socket, until it is closed."""
+        return self.acceptor.socket
+
+    @property
+    def is_accepting(self) -> bool:
+        """Whether the loop watches the listening socket."""
+        return self.acceptor.is_accepting
+
+    @property
+    def is_suspended(self) -> bool:
+        """Whether another process serves: nothing is accepted or read here."""
+        return self.acceptor.is_suspended
+
     def listen(self, host: str, port: int) -> tuple[str, int]:
         """Listen on one address; a new version may listen there beside this one.
 
@@ -69,51 +84,35 @@
         """
         return self.adopt(socket.create_server((host, port), backlog=LISTEN_BACKLOG, reuse_port=True))
 
-    def adopt(self, listening_socket: socket.socket) -> tuple[str, int]:
-        """Accept from a socket that another process may have accepted from; its address."""
-        self.listening_socket = listening_socket
-        self.listening_socket.setblocking(False)
-        self._start_accepting()
-        address: tuple[str, int] = self.listening_socket.getsockname()
+    def adopt(self, listening_socket: socket.socket, waited_s: float = 0.0) -> tuple[str, int]:
+        """Accept from a socket that another process may have accepted from; its address.
+
+        Args:
+            listening_socket: The socket.
+            waited_s: For how long nobody may have accepted from it.
+        """
+        self.acceptor.open(listening_socket, waited_s)
+        address: tuple[str, int] = listening_socket.getsockname()
         return address
 
-    def _start_accepting(self) -> None:
-        if self.listening_socket and not self.is_accepting and not self.is_suspended:
-            self.is_accepting = True
-            self.loop.add_reader(self.listening_socket, self._accept)
+    def free_places(self) -> int:
+        """How many connections there is room for, counted over all processes of this gateway."""
+        return self.max_connections - self.descriptors_in_use - self.peer_connections
 
-    def _stop_accepting(self) -> None:
-        if self.listening_socket and self.is_accepting:
-            self.is_accepting = False
-            self.loop.remove_reader(self.listening_socket)
+    def make_room(self) -> None:
+        """Close connections of no use, as others wait to be accepted."""
+        self.idle_connections.make_room()
 
-    def _accept(self) -> None:
-        """Accept while there is room; else make some, and leave new connections in the kernel meanwhile.
+    def on_accepted(self, sock: socket.socket, waiting_since_s: float) -> None:
+        """Serve a new connection."""
+        self.serve(sock, ResumedConnection(waiting_since_s=waiting_since_s))
 
-        A place is free only once the loop has closed its descriptor: ``connection_closed`` goes on then.
-        See docs/decisions/client-idle-connections.md.
-        """
-        assert self.listening_socket
-        if self._free_places() <= 0:
-            self._stop_accepting()
-            self.idle_connections.make_room()
-        for _ in range(min(MAX_ACCEPTS_PER_TURN, self._free_places())):
-            try:
-                sock, _ = self.listening_socket.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                log.warning("client accept failed reason=%r", error)
-                self.driver.telemetry.metrics.count(Metric.CLIENT_ACCEPT_FAILURES, _errno_name(error))
-                self._stop_accepting()  # until the next sweep
-                return
-            self.serve(sock)
-
-    def _free_places(self) -> int:
-        """How many connections there is room for, counted over all processes of this gateway."""
-        return self.max_connections - self.descriptors_in_use - self.peer_connections
+    def on_accept_error(self, error: OSError) -> None:
+        """Note that a call of accept has failed; it is tried again soon."""
+        log.warning("client accept failed reason=%r", error)
+        self.driver.telemetry.metrics.count(Metric.CLIENT_ACCEPT_FAILURES, errno_name(error))
 
-    def serve(self, sock: socket.socket, resumed: ResumedConnection = NEW_CONNECTION) -> None:
+    def serve(self, sock: socket.socket, resumed: ResumedConnection) -> None:
         """Serve a connection: a new one, or one that another process has served until now.
 
         Args:
@@ -136,7 +135,7 @@
 
     def _release_descriptor(self) -> None:
         self.descriptors_in_use -= 1
-        self._start_accepting()
+        self.acceptor.resume()
 
     # ---- What connections ask of their listener
 
@@ -165,57 +164,52 @@
 
     def _sweep(self) -> None:
         """Look after connections that nothing else wakes: overdue, disconnected, or in others' place."""
+        self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        self.stalls.tick()
         self.idle_connections.time_out_overdue()
         for connection in [item for item in self.connections if item.is_owed_while_unread()]:
             connection.close_if_disconnected()
-        if self._free_places() > 0:
-            self._start_accepting()
+        if self.free_places() > 0:
+            self.acceptor.resume()
         elif not self.is_accepting:
             self.idle_connections.make_room()  # somebody waits
-        self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     # ---- Suspending and ending
 
     def suspend(self) -> None:
         """Accept and read no more, as another process takes over; what was taken is still answered."""
-        self.is_suspended = True
-        self._stop_accepting()
+        self.acceptor.is_suspended = True
+        self.acceptor.pause()
         for connection in list(self.connections):
             connection.intake.update_read_pause(connection)
 
     def resume(self) -> None:
         """Go on as before, as there is no other process after all."""
-        self.is_suspended = False
-        self._start_accepting()
+        self.acceptor.is_suspended = False
+        self.acceptor.resume()
         for connection in list(self.connections):
             connection.intake.read_commands(connection)
 
     def stop_listening(self) -> None:
-        """Accept no more, and close each connection once nothing is owed on it.
-
-        What waits to be accepted is taken first, as closing the socket would reset it.
-        """
-        if self.listening_socket:
-            if not self.is_suspended:
-                self._accept()
-            self._stop_accepting()
-            self.listening_socket.close()
-            self.listening_socket = None
+        """Accept what waits already, and close each connection once nothing is owed on it."""
         self.is_stopping = True
         for connection in list(self.connections):
             connection.flush()
+        self.acceptor.close_when_empty()
+
+    def is_busy(self) -> bool:
+        """Whether connections are open or on their way in, or some may still wait to be accepted."""
+        return self.descriptors_in_use > 0 or self.listening_socket is not None
 
     def finish(self) -> None:
         """Read no more; each connection closes once what was read is answered and the replies are written."""
+        self.acceptor.close()
         for connection in list(self.connections):
             connection.finish()
 
     def abort(self) -> None:
         """Close what is left, at the very end."""
+        self.acceptor.close()
         self._sweep_timer.cancel()
         for connection in list(self.connections):
             connection.abort()
-
-
-def _errno_name(error: OSError) -> str:
-    return errno.errorcode.get(error.errno or 0, "unknown")
--- a/quota_gateway/net/command_intake.py
+++ b/quota_gateway/net/command_intake.py
@@ -4,15 +4,20 @@
 
 import asyncio
 import logging
+import socket
+import time
 from collections import deque
+from math import inf
 from typing import Protocol
 
 from quota_gateway.errors import CommandError, ProtocolError
+from quota_gateway.net.arrival import BACKLOG_READ_S, MS_PER_S, NEGLIGIBLE_S, StallDetector, arrival_s
 from quota_gateway.net.commands import CALL_GET, CALL_POST, PING, RequestParser
 from quota_gateway.net.driver import ActiveRequest, Driver
 from quota_gateway.net.idle_connections import IdleConnections, TrackedConnection
 from quota_gateway.net.pending_reply import PendingReply, ReplyChannel
 from quota_gateway.net.resp import CommandReader
+from quota_gateway.telemetry import Metric
 
 log = logging.getLogger(__name__)
 
@@ -30,7 +35,11 @@
     request_parser: RequestParser
     idle_connections: IdleConnections
     loop: asyncio.AbstractEventLoop
-    is_suspended: bool
+    stalls: StallDetector
+
+    @property
+    def is_suspended(self) -> bool:
+        """Whether another process serves."""
 
     def ping_reply(self) -> bytes:
         """The reply to PING."""
@@ -40,6 +49,7 @@
     """What the intake needs of its connection."""
 
     transport: asyncio.Transport | None
+    socket: socket.socket
     pending_replies: deque[PendingReply]
     must_linger: bool
     is_write_blocked: bool
@@ -64,13 +74,16 @@
     __slots__ = (
         "_consecutive_errors",
         "_is_reading",
+        "_resumed_s",
         "_services",
         "has_sent_command",
         "is_read_paused",
         "is_read_scheduled",
+        "last_arrival_s",
         "last_received_s",
         "reader",
         "request_count",
+        "waiting_since_s",
     )
 
     def __init__(
@@ -78,6 +91,7 @@
         services: IntakeServices,
         has_sent_command: bool,
         request_count: int,
+        waiting_since_s: float = inf,
     ) -> None:
         self._services = services
         self.reader = CommandReader()
@@ -86,6 +100,9 @@
         self.last_received_s = services.loop.time()
         self.is_read_paused = False
         self.is_read_scheduled = False  # the others have their turn before more commands are read
+        self.waiting_since_s = waiting_since_s  # monotonic; what comes next may have come since then
+        self.last_arrival_s = 0.0  # monotonic; of what was read last
+        self._resumed_s = inf if waiting_since_s == inf else time.monotonic()
         self._is_reading = False
         self._consecutive_errors = 0
 
@@ -93,9 +110,19 @@
         """Take in bytes and read the commands that they complete."""
         self.reader.feed(data)
         self.last_received_s = self._services.loop.time()
+        self._note_arrival(connection)
         connection.buffers.count(len(data), in_hand=False)
         self.read_commands(connection)
 
+    def _note_arrival(self, connection: CommandConnection) -> None:
+        """Note when the bytes at hand came: now, or earlier where the connection or the process waited."""
+        now_s = time.monotonic()
+        if now_s - self._resumed_s > BACKLOG_READ_S:
+            self.waiting_since_s = inf
+            self._resumed_s = inf
+        earliest_s = min(self.waiting_since_s, self._services.stalls.earliest_s())
+        self.last_arrival_s = arrival_s(connection.socket, earliest_s)
+
     def read_commands(self, connection: CommandConnection) -> None:
         """Read commands, but no more than may be in hand at once, and not so many that others wait."""
         self._is_reading = True
@@ -169,8 +196,11 @@
             return
         self.is_read_paused = must_pause
         if must_pause:
+            self.waiting_since_s = min(self.waiting_since_s, time.monotonic())
+            self._resumed_s = inf
             transport.pause_reading()
         else:
+            self._resumed_s = time.monotonic()
             transport.resume_reading()
 
     def _dispatch(self, connection: CommandConnection, command: list[bytes], size_bytes: int) -> None:
@@ -187,7 +217,7 @@
     def _submit_request(self, connection: CommandConnection, command: list[bytes], size_bytes: int) -> None:
         driver = self._services.driver
         try:
-            request, encode = self._services.request_parser.parse(command)
+            request, encode = self._services.request_parser.parse(command, self._waited_ms())
             if request.request_id in driver.active_requests:
                 raise CommandError("a request of this id is in hand")
         except CommandError as error:
@@ -211,6 +241,13 @@
             request.timeout_ms,
         )
 
+    def _waited_ms(self) -> float:
+        """For how long the command at hand has waited to be read."""
+        waited_s = time.monotonic() - self.last_arrival_s
+        if waited_s > NEGLIGIBLE_S:
+            self._services.driver.telemetry.metrics.count(Metric.LATE_COMMANDS, "waited to be read")
+        return waited_s * MS_PER_S
+
     def _reply_error(self, connection: CommandConnection, reason: str) -> None:
         """Answer a bad command; after many in a row the connection ends."""
         self._consecutive_errors += 1
--- a/quota_gateway/net/commands.py
+++ b/quota_gateway/net/commands.py
@@ -49,12 +49,12 @@
     return text.decode("ascii").lower()
 
 
-def _parse_timeout_ms(fields: Fields, request_class: api.RequestClass) -> float:
+def _parse_timeout_ms(fields: Fields, request_class: api.RequestClass, waited_ms: float) -> float:
     """How long the reply may take: at most the deadline of the class, as timers are kept for that long."""
     timeout_ms = float(_matching_field(fields, b"d", DECIMAL_PATTERN))
     if timeout_ms <= 0.0:
         raise CommandError("bad value of d")
-    return max(0.0, min(timeout_ms, request_class.deadline_ms) - CLIENT_MARGIN_MS)
+    return max(0.0, min(timeout_ms, request_class.deadline_ms) - waited_ms - CLIENT_MARGIN_MS)
 
 
 def upstream_encoder(name: bytes, command: list[bytes], field_list: bytes) -> Encoder:
@@ -93,11 +93,12 @@
         self._classes = {item.name.encode(): item for item in settings.classes}
         self._plans = {item.name.encode(): item.name for item in settings.plans}
 
-    def parse(self, command: list[bytes]) -> tuple[api.Request, Encoder]:
+    def parse(self, command: list[bytes], waited_ms: float = 0.0) -> tuple[api.Request, Encoder]:
         """Read one command.
 
         Args:
             command: The command's name and arguments; the name is CALL.GET or CALL.POST in any case.
+            waited_ms: For how long it has waited to be read.
 
         Returns:
             The request, and the function that encodes it for a server that has so many milliseconds.
@@ -121,7 +122,7 @@
             class_name=request_class.name,
             plan=plan,
             customer=_parse_customer(customer),
-            timeout_ms=_parse_timeout_ms(fields, request_class),
+            timeout_ms=_parse_timeout_ms(fields, request_class, waited_ms),
             units=self._parse_units(fields),
             gateway_set_size=self._parse_gateway_number(fields, b"spread", 1),
             first_gateway=self._parse_gateway_number(fields, b"first", 0),
--- a/quota_gateway/net/handover_receiver.py
+++ b/quota_gateway/net/handover_receiver.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import socket
+import time
 from enum import Enum, auto
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -160,6 +161,10 @@
     def _on_connection(self, message: ReceivedMessage) -> None:
         connection = PassedConnection.from_json(message.header)
         resumed = ResumedConnection(
-            connection.has_sent_command, connection.request_count, connection.command_due_for_s, message.body
+            connection.has_sent_command,
+            connection.request_count,
+            connection.command_due_for_s,
+            message.body,
+            time.monotonic() - connection.waited_s,
         )
         self.clients.serve(message.take_socket(), resumed)
--- a/quota_gateway/net/handover_sender.py
+++ b/quota_gateway/net/handover_sender.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import socket
+import time
 from enum import Enum, auto
 from pathlib import Path
 
@@ -197,7 +198,10 @@
             return
         descriptor, resumed = released
         connection = PassedConnection(
-            resumed.has_sent_command, resumed.request_count, resumed.command_due_for_s
+            resumed.has_sent_command,
+            resumed.request_count,
+            resumed.command_due_for_s,
+            max(0.0, time.monotonic() - resumed.waiting_since_s),
         )
         channel.send(ChannelMessage(connection.to_json(), resumed.partial_command, descriptor))
 
--- a/quota_gateway/net/peer_messages.py
+++ b/quota_gateway/net/peer_messages.py
@@ -132,25 +132,30 @@
     has_sent_command: bool
     request_count: int
     command_due_for_s: float  # for how long a command has been due
+    waited_s: float = 0.0  # for how long nothing has been read on it
 
     def to_json(self) -> Json:
         """The header of the message."""
-        return {
+        header = {
             "kind": MessageKind.CONNECTION.value,
             "spoke": self.has_sent_command,
             "asked": self.request_count,
             "owing_s": self.command_due_for_s,
         }
+        return {**header, "waited_s": self.waited_s} if self.waited_s else header
 
     @staticmethod
     def from_json(header: Json) -> PassedConnection:
         """Read the message; HandoverError if it is malformed. A time that is not finite counts as none."""
         kind = MessageKind.CONNECTION
         command_due_for_s = _field(kind, header, "owing_s", float)
+        # a version before this one does not tell the second time
+        waited_s = _field(kind, header, "waited_s", float) if "waited_s" in header else 0.0
         return PassedConnection(
             has_sent_command=_field(kind, header, "spoke", bool),
             request_count=_field(kind, header, "asked", int),
             command_due_for_s=command_due_for_s if isfinite(command_due_for_s) else 0.0,
+            waited_s=waited_s if isfinite(waited_s) else 0.0,
         )
 
 
--- a/quota_gateway/server.py
+++ b/quota_gateway/server.py
@@ -23,6 +23,7 @@
 from quota_gateway.net.driver import Clock, Driver
 from quota_gateway.net.endpoint_registry import EndpointRegistry
 from quota_gateway.net.handover import Handover, HandoverState, rendezvous_path, request_handover
+from quota_gateway.net.handover_receiver import OFFER_TIMEOUT_S
 from quota_gateway.net.peer_processes import PeerProcesses
 from quota_gateway.net.upstream_pool import UpstreamPool
 from quota_gateway.policy.engine import PolicyEngine
@@ -156,7 +157,7 @@
             state.channel.close("its state can not be restored")
             state.listener.close()
             return False
-        self.clients.adopt(state.listener)
+        self.clients.adopt(state.listener, waited_s=OFFER_TIMEOUT_S)
         self.clients.is_ready = True
         self.handover.took_over(state, self.limits.handover_spare_bytes)
         return True
@@ -252,9 +253,9 @@
     driver.post(model.ShutdownStarted(timeout_s * 1000.0))
     await asyncio.sleep(ACCEPT_PERIOD_S)
     clients.stop_listening()
-    await _wait_while(lambda: bool(clients.connections) or handover.busy(), until=end)
+    await _wait_while(lambda: clients.is_busy() or handover.busy(), until=end)
     clients.finish()
-    await _wait_while(lambda: bool(clients.connections), until=end + FLUSH_TIMEOUT_S)
+    await _wait_while(clients.is_busy, until=end + FLUSH_TIMEOUT_S)
     clients.abort()
 
 
--- a/tests/net/test_accept_faults.py
+++ b/tests/net/test_accept_faults.py
@@ -1,6 +1,7 @@
 """Connections that wait to be accepted while the system refuses to, and at the end of the process."""
 
 import errno
+import socket
 
 import pytest
 
@@ -11,26 +12,23 @@
 WAITING = 5
 
 
-class FaultyListener:
+class FaultyListener(socket.socket):
     """A listening socket whose first calls of ``accept`` fail with these errors."""
 
     def __init__(self, listener, *errors):
-        self._listener = listener
+        super().__init__(fileno=listener.detach())
         self._errors = list(errors)
 
-    def __getattr__(self, name):
-        return getattr(self._listener, name)
-
     def accept(self):
         """Accept, unless an error is due first."""
         if self._errors:
             raise OSError(self._errors.pop(0), "fault of the test")
-        return self._listener.accept()
+        return super().accept()
 
 
 async def connect_waiting(gateway):
     """Connect clients that send a request and wait to be accepted."""
-    gateway.client_listener._stop_accepting()
+    gateway.client_listener.acceptor.pause()
     clients = [await gateway.connect_client() for _ in range(WAITING)]
     for number, client in enumerate(clients):
         client.send(encode_call(number))
@@ -50,7 +48,7 @@
     async with run_gateway(FakeUpstream(), max_connections=max_connections) as gateway:
         clients = await connect_waiting(gateway)
         listener = gateway.client_listener
-        listener.listening_socket = FaultyListener(listener.listening_socket, *errors)
+        listener.acceptor.socket = FaultyListener(listener.listening_socket, *errors)
         listener.stop_listening()
         for number, client in enumerate(clients):
             assert await client.read_reply() == b"%016x" % number
--- /dev/null
+++ b/tests/net/test_arrival.py
@@ -0,0 +1,139 @@
+"""When a command came that is read only now, and what a server is told of its time then."""
+
+import asyncio
+import time
+
+import pytest
+
+from quota_gateway.net import acceptor, arrival, command_intake
+from quota_gateway.net.arrival import StallDetector, arrival_s, seconds_since_data
+from quota_gateway.net.command_intake import MAX_PIPELINED_COMMANDS
+from tests.support.fake_upstream import FakeUpstream
+from tests.support.gateway_node import run_gateway, wait_until
+from tests.support.resp_encoding import encode_call, encode_reply
+
+TIMEOUT_MS = 4000
+WAIT_S = 1.5
+TICK_S = 0.1
+
+
+class SettableTime:
+    """Takes the place of the module ``time``: its monotonic clock is ahead by ``offset_s``."""
+
+    def __init__(self):
+        self.offset_s = 0.0
+
+    def monotonic(self):
+        """Give the time."""
+        return time.monotonic() + self.offset_s
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """The clock by which waits are measured; the deadlines of requests go by another one."""
+    settable = SettableTime()
+    for module in (acceptor, arrival, command_intake):
+        monkeypatch.setattr(module, "time", settable)
+    return settable
+
+
+def told_ms(command):
+    """The time that a command tells its server."""
+    fields = dict(part.split(b"=") for part in command[3].split(b","))
+    return int(fields[b"d"])
+
+
+@pytest.mark.parametrize(
+    ("waited_s", "kernel_age_s", "age_s"),
+    [
+        pytest.param(0.01, 5.0, 0.0, id="negligible"),
+        pytest.param(1.0, 0.25, 0.25, id="the kernel tells"),
+        pytest.param(1.0, 3.0, 1.0, id="not before it can have come"),
+        pytest.param(1.0, None, 1.0, id="the kernel does not tell"),
+    ],
+)
+def test_arrival_is_as_late_as_is_known(monkeypatch, waited_s, kernel_age_s, age_s):
+    monkeypatch.setattr(arrival, "seconds_since_data", lambda _: kernel_age_s)
+    now_s = time.monotonic()
+    assert arrival_s(None, now_s - waited_s) == pytest.approx(now_s - age_s, abs=0.02)
+
+
+async def test_kernel_tells_when_data_came():
+    async with run_gateway(FakeUpstream(lambda _: None)) as gateway:
+        client = await gateway.connect_client()
+        client.send(encode_call(1))
+        await wait_until(lambda: gateway.driver.active_requests)
+        (connection,) = gateway.client_listener.connections
+        first_s = seconds_since_data(connection.socket)
+        assert first_s < TICK_S * 100
+        await wait_until(lambda: seconds_since_data(connection.socket) > first_s)
+        before_s = seconds_since_data(connection.socket)
+        client.send(encode_call(2))
+        await wait_until(lambda: len(gateway.driver.active_requests) == 2)
+        assert seconds_since_data(connection.socket) <= before_s
+
+
+async def test_stall_is_noticed_while_it_lasts_and_until_input_was_read(clock):
+    stalls = StallDetector(TICK_S)
+    start_s = clock.monotonic()
+    assert stalls.earliest_s() >= start_s
+    clock.offset_s = WAIT_S
+    assert start_s - 0.01 <= stalls.earliest_s() <= start_s + 0.01  # held up: input is handled before timers
+    stalls.tick()
+    assert stalls.earliest_s() <= start_s + 0.01  # the input behind the tick is as old
+    await wait_until(lambda: stalls.earliest_s() > start_s + WAIT_S)
+
+
+async def test_command_that_waited_behind_others_tells_what_is_left(clock):
+    upstream = FakeUpstream(lambda _: None)
+    async with run_gateway(upstream) as gateway:
+        client = await gateway.connect_client()
+        client.send(
+            *(encode_call(number, timeout_ms=TIMEOUT_MS) for number in range(MAX_PIPELINED_COMMANDS + 1))
+        )
+        await wait_until(lambda: len(gateway.driver.active_requests) == MAX_PIPELINED_COMMANDS)
+        (connection,) = gateway.client_listener.connections
+        await wait_until(connection.intake.has_partial_command)
+        clock.offset_s = WAIT_S
+        for active in list(gateway.driver.active_requests.values()):
+            if not active.answered:
+                gateway.driver.client_disconnected(active.request_id)
+        upstream.respond = lambda words: encode_reply(words[2])
+        for reply in list(connection.pending_replies):
+            reply.set_reply(b"-ERR failed\r\n")
+        last = b"%016x" % MAX_PIPELINED_COMMANDS
+        await upstream.wait_until(lambda: any(words[2] == last for words in upstream.commands))
+        (command,) = [words for words in upstream.commands if words[2] == last]
+        assert told_ms(command) <= TIMEOUT_MS - 1000.0 * WAIT_S
+
+
+async def test_command_of_a_connection_that_waited_to_be_accepted_tells_what_is_left(clock, monkeypatch):
+    monkeypatch.setattr(arrival, "seconds_since_data", lambda _: WAIT_S)
+    upstream = FakeUpstream()
+    async with run_gateway(upstream) as gateway:
+        gateway.client_listener.acceptor.pause()
+        client = await gateway.connect_client()
+        client.send(encode_call(1, timeout_ms=TIMEOUT_MS))
+        await client.writer.drain()
+        clock.offset_s = 2.0 * WAIT_S
+        gateway.client_listener.acceptor.resume()
+        assert await client.read_reply() == b"%016x" % 1
+        assert told_ms(upstream.commands[0]) <= TIMEOUT_MS - 1000.0 * WAIT_S
+        clock.offset_s = 2.0 * WAIT_S + 1.0  # what comes later has not waited
+        await wait_until(lambda: gateway.client_listener.stalls.earliest_s() >= clock.monotonic() - 0.05)
+        assert await client.request(encode_call(2, timeout_ms=TIMEOUT_MS)) == b"%016x" % 2
+        assert told_ms(upstream.commands[1]) > TIMEOUT_MS - 1000.0 * WAIT_S
+
+
+async def test_no_attempt_for_a_command_whose_time_is_over_when_it_is_read(clock, monkeypatch):
+    monkeypatch.setattr(arrival, "seconds_since_data", lambda _: WAIT_S)
+    upstream = FakeUpstream()
+    async with run_gateway(upstream) as gateway:
+        gateway.client_listener.acceptor.pause()
+        client = await gateway.connect_client()
+        client.send(encode_call(1, timeout_ms=1000))
+        await client.writer.drain()
+        clock.offset_s = 2.0 * WAIT_S
+        gateway.client_listener.acceptor.resume()
+        assert await asyncio.wait_for(client.read_reply(), 5.0) == "-BUSY"
+        assert not upstream.commands
