Hand over the clock with the state; translate servers' starts once, whatever the wall clock does

Seen by the check that sets the wall clock between two processes, on the program as it was: an hour forward, a customer that had used up its burst got a fresh one (6 in place of 0); an hour back, 129 lines of errors, as every outcome overflowed. The state that is handed over has times by a clock that each process set by the wall clock at its own start. The new process adopts the offset of the old one; an offer of an earlier version names none, and its times count as past. The same mistake elsewhere: starts of servers were compared with that clock, so that an hour forward made a cold server warm; they are translated once, to the latest start that either clock allows. The log's rate limit went by the wall clock.

--- a/quota_gateway/log_rate_limiter.py
+++ b/quota_gateway/log_rate_limiter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from math import inf
 
 LOG_PERIOD_S = 10.0
@@ -18,24 +19,25 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._period_end_s = -inf  # as ``LogRecord.created``
+        self._period_end_s = -inf  # monotonic: the wall clock may be set
         self._passed_lines = 0
         self._suppressed_lines = 0
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Whether the record is written."""
-        if record.created >= self._period_end_s:
-            self._start_period(record)
+        now_s = time.monotonic()
+        if now_s >= self._period_end_s:
+            self._start_period(record, now_s)
         self._passed_lines += 1
         if self._passed_lines > MAX_LINES_PER_PERIOD:
             self._suppressed_lines += 1
             return False
         return True
 
-    def _start_period(self, record: logging.LogRecord) -> None:
+    def _start_period(self, record: logging.LogRecord, now_s: float) -> None:
         if self._suppressed_lines:
             record.msg = f"{record.getMessage()} suppressed_lines={self._suppressed_lines}"
             record.args = ()
-        self._period_end_s = record.created + LOG_PERIOD_S
+        self._period_end_s = now_s + LOG_PERIOD_S
         self._passed_lines = 0
         self._suppressed_lines = 0
--- a/quota_gateway/model/snapshot.py
+++ b/quota_gateway/model/snapshot.py
@@ -109,17 +109,19 @@
                 for row in state["customers"]
                 if row[0] in plans
             },
-            endpoints={row[0]: _endpoint_in(row) for row in state["servers"]},
-            failures=_failures_in(state["marks"]),
+            endpoints={row[0]: _endpoint_in(row, now_ms) for row in state["servers"]},
+            failures=_failures_in(state["marks"], now_ms),
             attempts=int(state["sends"]),
             concurrency_limit=_number_in(state["pool"]),
             retry_tokens=_number_in(state["retries"]),
-            started_at_ms=_number_in(state["started_at"]),
+            started_at_ms=_past_in(state["started_at"], now_ms),
             admitted_shares={  # older versions leave none
                 name: _number_in(share) for name, share in state.get("open", {}).items() if name in plans
             },
-            detached={int(number): _number_in(since) for number, since in state["barred"]},
-            attached={int(row[0]): (_number_in(row[1]), _number_in(row[2])) for row in state["attached"]},
+            detached={int(number): _past_in(since, now_ms) for number, since in state["barred"]},
+            attached={
+                int(row[0]): (_past_in(row[1], now_ms), _past_in(row[2], now_ms)) for row in state["attached"]
+            },
             latencies={
                 name: {
                     int(size): (_number_in(mean), int(seen)) for size, mean, seen in state["latency"][name]
@@ -137,19 +139,26 @@
     return value
 
 
-def _moment_in(value: Any) -> Moment:
-    return Moment(_number_in(value[0]), int(value[1]))
+def _past_in(value: Any, now_ms: float) -> float:
+    """A time; one of a clock that is ahead of this process's counts as now."""
+    return min(now_ms, _number_in(value))
+
+
+def _moment_in(value: Any, now_ms: float) -> Moment:
+    return Moment(_past_in(value[0], now_ms), int(value[1]))
 
 
-def _failures_in(value: Any) -> dict[str, FailureRecord]:
+def _failures_in(value: Any, now_ms: float) -> dict[str, FailureRecord]:
     return {
-        str(name): FailureRecord(_number_in(failures), _number_in(outcomes), _moment_in(updated))
+        str(name): FailureRecord(_number_in(failures), _number_in(outcomes), _moment_in(updated, now_ms))
         for name, (failures, outcomes, updated) in value.items()
     }
 
 
-def _endpoint_in(row: list[Any]) -> EndpointRecord:
-    return EndpointRecord(_number_in(row[1]), _number_in(row[2]), _moment_in(row[3]), _failures_in(row[4]))
+def _endpoint_in(row: list[Any], now_ms: float) -> EndpointRecord:
+    return EndpointRecord(
+        _past_in(row[1], now_ms), _number_in(row[2]), _moment_in(row[3], now_ms), _failures_in(row[4], now_ms)
+    )
 
 
 def _customer_in(row: list[Any], gateways: int, now_ms: float) -> CustomerState:
--- a/quota_gateway/net/clock.py
+++ b/quota_gateway/net/clock.py
@@ -15,8 +15,16 @@
     """
 
     def __init__(self) -> None:
-        self._offset_s = time.time() - time.monotonic()
+        self.offset_ms = (time.time() - time.monotonic()) * MS_PER_S
+
+    def adopt(self, offset_ms: float) -> None:
+        """Go by the clock of another process of this machine; before the first time was read by anybody.
+
+        Args:
+            offset_ms: That process's ``offset_ms``.
+        """
+        self.offset_ms = offset_ms
 
     def __call__(self) -> float:
         """Return the time."""
-        return (time.monotonic() + self._offset_s) * MS_PER_S
+        return time.monotonic() * MS_PER_S + self.offset_ms
--- a/quota_gateway/net/driver.py
+++ b/quota_gateway/net/driver.py
@@ -57,7 +57,7 @@
     Args:
         engine: Decides on each event.
         upstream: Carries the attempts.
-        clock: Unix time in milliseconds that never goes back.
+        clock: The gateway's clock.
         notify_peer: Passes usage on to the other process of this gateway, if there is one.
     """
 
@@ -65,7 +65,7 @@
         self,
         engine: PolicyEngine,
         upstream: UpstreamPool,
-        clock: Callable[[], float],
+        clock: Clock,
         notify_peer: UsageListener,
     ) -> None:
         self.engine = engine
@@ -96,6 +96,11 @@
             NotifyPeerProcess: self._notify_peer_process,
         }
 
+    @property
+    def clock_offset_ms(self) -> float:
+        """The offset of the clock by which all times of the engine's state are."""
+        return self.clock.offset_ms
+
     # ---- Events in
 
     def post(self, event: Event) -> None:
--- a/quota_gateway/net/endpoint_row.py
+++ b/quota_gateway/net/endpoint_row.py
@@ -56,23 +56,34 @@
     return name if isinstance(name, str) and 0 < len(name) <= MAX_NAME_LENGTH else None
 
 
-def parse_row(row: EndpointRow, number_for: Callable[[str], int]) -> AddressedEndpoint:
+def _as_told(_name: str, reported_ms: float) -> float:
+    return reported_ms
+
+
+def parse_row(
+    row: EndpointRow,
+    number_for: Callable[[str], int],
+    started_for: Callable[[str, float], float] = _as_told,
+) -> AddressedEndpoint:
     """Read one row.
 
     Args:
         row: The row as discovery gave it.
         number_for: Gives an endpoint its number by its name; called once everything else is checked.
+        started_for: Gives the start of an endpoint by the gateway's clock, from its name and what it is told.
 
     Raises:
         DiscoveryError: A field is missing, of another type, or out of range.
     """
     try:
-        return _parse_fields(row, number_for)
+        return _parse_fields(row, number_for, started_for)
     except (ValueError, KeyError, TypeError, AttributeError, OverflowError, OSError) as error:
         raise DiscoveryError(f"endpoint row is malformed: {error!r}") from error
 
 
-def _parse_fields(row: EndpointRow, number_for: Callable[[str], int]) -> AddressedEndpoint:
+def _parse_fields(
+    row: EndpointRow, number_for: Callable[[str], int], started_for: Callable[[str, float], float]
+) -> AddressedEndpoint:
     address = _parse_address(row["hostPort"])
     name = row["instanceId"]
     zone = row["zone"]
@@ -100,7 +111,7 @@
         cell=cell,
         state=lifecycle,
         size=size,
-        started_ms=started_ms,
+        started_ms=started_for(name, started_ms),
         name=name,
     )
     return AddressedEndpoint(endpoint, address)
--- a/quota_gateway/net/endpoint_table.py
+++ b/quota_gateway/net/endpoint_table.py
@@ -7,6 +7,7 @@
 from quota_gateway import model as api
 from quota_gateway.net.endpoint_row import NO_ADDRESS, AddressedEndpoint, EndpointRow
 from quota_gateway.net.nearest_endpoints import NearestEndpoints
+from quota_gateway.net.start_times import StartTimes
 from quota_gateway.policy.subset import Subset
 
 # Numbers of endpoints without a row that are remembered: one that returns soon is known by its old number.
@@ -20,6 +21,7 @@
 
     Attributes:
         subset: Ranks endpoints by their names.
+        start_times: Translates the starts of endpoints.
         nearest: The names of ``rows``, ranked.
         other_names: The names of all other endpoints that are listed.
         numbers: By name, the numbers of endpoints with a row, as the policy engine knows them.
@@ -28,8 +30,9 @@
         rows: By name, the rows as discovery gave them last.
     """
 
-    def __init__(self, subset: Subset | None = None) -> None:
+    def __init__(self, subset: Subset | None = None, start_times: StartTimes | None = None) -> None:
         self.subset = subset or Subset(1, 0)
+        self.start_times = start_times or StartTimes()
         self.nearest = NearestEndpoints(self.subset)
         self.other_names: set[str] = set()
         self.numbers: dict[str, int] = {}
@@ -72,6 +75,7 @@
             What the policy engine is told of it; None if it had no row.
         """
         row = self.rows.pop(name, None)
+        self.start_times.forget(name)
         number = self.numbers.pop(name, None)
         if row is None or number is None:
             return None
--- a/quota_gateway/net/handover_receiver.py
+++ b/quota_gateway/net/handover_receiver.py
@@ -41,6 +41,7 @@
     listener: socket.socket
     state: dict[str, Any]  # the policy engine's
     registry: dict[str, Any]  # the endpoint registry's
+    clock_offset_ms: float | None  # of the clock of the times in them, if it is known
 
 
 async def request_handover(path: Path | None) -> HandoverState | None:
@@ -78,7 +79,7 @@
     if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
         listener.close()
         raise HandoverError("estate: descriptor is no listening socket")
-    return HandoverState(channel, listener, offer.state, offer.registry)
+    return HandoverState(channel, listener, offer.state, offer.registry, offer.clock_offset_ms)
 
 
 class ReceiverState(Enum):
--- a/quota_gateway/net/handover_sender.py
+++ b/quota_gateway/net/handover_sender.py
@@ -132,7 +132,8 @@
         channel.on_end = self._on_next_ended
         channel.set_receiver(lambda message: self._on_message(channel, message))
         self.clients.suspend()
-        offer = HandoverOffer(self.driver.export_state(), self.registry.export_state())
+        state, registry = self.driver.export_state(), self.registry.export_state()
+        offer = HandoverOffer(state, registry, self.driver.clock_offset_ms)
         channel.send(ChannelMessage(offer.to_json(), offer.encode_body(), listening_socket))
         self._reported = None
         self._report_descriptors(channel)
--- a/quota_gateway/net/peer_messages.py
+++ b/quota_gateway/net/peer_messages.py
@@ -66,6 +66,13 @@
         raise HandoverError(f"{kind.value}: {key}={value!r:.200} is malformed: {error!r}") from error
 
 
+def _finite(value: Any) -> float:
+    number = float(value)
+    if not isfinite(number):
+        raise ValueError("not finite")
+    return number
+
+
 def _check(kind: MessageKind, header: Json) -> None:
     """Raise HandoverError for a header of another kind or another version of the protocol."""
     if header.get("kind") != kind.value:
@@ -93,6 +100,7 @@
 
     state: Json  # the policy engine's
     registry: Json  # the endpoint registry's
+    clock_offset_ms: float | None = None  # of the clock of all times in them; None from an earlier version
 
     def to_json(self) -> Json:
         """The header of the message."""
@@ -100,7 +108,10 @@
 
     def encode_body(self) -> bytes:
         """The bytes behind the header: the state may be long, and is read apart from it."""
-        return json.dumps({"state": self.state, "roster": self.registry}).encode()
+        body: Json = {"state": self.state, "roster": self.registry}
+        if self.clock_offset_ms is not None:
+            body["clock"] = self.clock_offset_ms
+        return json.dumps(body).encode()
 
     @staticmethod
     def from_json(header: Json, body: bytes) -> HandoverOffer:
@@ -114,7 +125,9 @@
         if not isinstance(document, dict):
             raise HandoverError(f"{kind.value}: the body is no object: {document!r:.200}")
         return HandoverOffer(
-            state=_field(kind, document, "state", dict), registry=_field(kind, document, "roster", dict)
+            state=_field(kind, document, "state", dict),
+            registry=_field(kind, document, "roster", dict),
+            clock_offset_ms=_field(kind, document, "clock", _finite) if "clock" in document else None,
         )
 
 
--- a/quota_gateway/net/snapshot_reader.py
+++ b/quota_gateway/net/snapshot_reader.py
@@ -143,7 +143,7 @@
         """Read the row of this name into the table; None if it can't be read and nothing was known before."""
         row = self.rows[name]
         try:
-            addressed = parse_row(row, self.table.number_for_row)
+            addressed = parse_row(row, self.table.number_for_row, self.table.start_times.by_gateway_clock)
         except DiscoveryError as error:
             log.error("malformed endpoint row error=%r row=%.200r", error.__cause__ or error, row)
             return self._keep_known(name)
@@ -161,7 +161,7 @@
             del self.rows[name]
             return None
         self.rows[name] = known_row
-        addressed = parse_row(known_row, self.table.number_for_row)
+        addressed = parse_row(known_row, self.table.number_for_row, self.table.start_times.by_gateway_clock)
         self._store(name, known_row, addressed)
         return addressed
 
--- a/quota_gateway/server.py
+++ b/quota_gateway/server.py
@@ -25,6 +25,7 @@
 from quota_gateway.net.handover import Handover, HandoverState, rendezvous_path, request_handover
 from quota_gateway.net.handover_receiver import OFFER_TIMEOUT_S
 from quota_gateway.net.peer_processes import PeerProcesses
+from quota_gateway.net.start_times import StartTimes
 from quota_gateway.net.upstream_pool import UpstreamPool
 from quota_gateway.policy.engine import PolicyEngine
 from quota_gateway.resources import divide_resources
@@ -75,8 +76,9 @@
             self.telemetry,
         )
         self.peers = PeerProcesses()
-        self.driver = Driver(self.engine, self.upstream, Clock(), self.peers.notify_usage)
-        self.registry = EndpointRegistry(self.engine.subset)
+        self.clock = Clock()
+        self.driver = Driver(self.engine, self.upstream, self.clock, self.peers.notify_usage)
+        self.registry = EndpointRegistry(self.engine.subset, StartTimes(self.clock))
         self.discovery = DiscoveryClient(
             self.registry,
             self._on_endpoint_update,
@@ -130,6 +132,8 @@
 
     async def _start(self) -> None:
         state = await request_handover(self.handover.path)
+        if state and state.clock_offset_ms is not None:
+            self.clock.adopt(state.clock_offset_ms)
         self.discovery.load_known(self._initial_endpoints(state))
         self.discovery.watch(self.config.discovery)
         if self.config.admin:
--- a/tests/net/test_peer_messages.py
+++ b/tests/net/test_peer_messages.py
@@ -242,3 +242,14 @@
         channel.close("again")
         peer.close()
     assert ends == ["close"]
+
+
+@pytest.mark.parametrize("offset_ms", [None, 1.7e12])
+def test_offer_tells_the_offset_of_its_clock(offset_ms):
+    offer = HandoverOffer({"a": 1}, {"b": 2}, offset_ms)
+    assert HandoverOffer.from_json(offer.to_json(), offer.encode_body()) == offer
+
+
+def test_offset_that_is_no_number_is_refused():
+    with pytest.raises(HandoverError, match=r"^estate: clock="):
+        HandoverOffer.from_json(RECORDED["estate"], b'{"state": {}, "roster": {}, "clock": "x"}')
--- a/tests/process/test_process.py
+++ b/tests/process/test_process.py
@@ -220,13 +220,18 @@
         assert await process.wait() == 0
 
 
-def test_log_lines_are_limited_and_suppressed_ones_are_counted():
+@pytest.mark.parametrize("wall_step_s", [0.0, 3600.0, -3600.0])
+def test_log_lines_are_limited_and_suppressed_ones_are_counted(monkeypatch, wall_step_s):
+    now_s = [1000.0]
+    monkeypatch.setattr(log_rate_limiter.time, "monotonic", lambda: now_s[0])
     limiter, lines = log_rate_limiter.LogRateLimiter(), []
     for number in range(3 * log_rate_limiter.MAX_LINES_PER_PERIOD):
         record = logging.makeLogRecord({"msg": "bad %d", "args": (number,), "created": 1000.0})
         lines += [record.getMessage()] if limiter.filter(record) else []
     assert len(lines) == log_rate_limiter.MAX_LINES_PER_PERIOD
-    record = logging.makeLogRecord({"msg": "later", "created": 1000.0 + log_rate_limiter.LOG_PERIOD_S})
+    now_s[0] += log_rate_limiter.LOG_PERIOD_S
+    created = 1000.0 + log_rate_limiter.LOG_PERIOD_S + wall_step_s
+    record = logging.makeLogRecord({"msg": "later", "created": created})
     assert limiter.filter(record)
     assert record.getMessage() == f"later suppressed_lines={2 * log_rate_limiter.MAX_LINES_PER_PERIOD}"
 
--- a/tests/process/test_wall_clock.py
+++ b/tests/process/test_wall_clock.py
@@ -29,13 +29,15 @@
     return {"LD_PRELOAD": str(library), "SOAK_SHIM_CONTROL": str(control.path)}
 
 
+def encode_own_call(number: int, plan: str) -> bytes:
+    """Encode a request of a customer that comes through this gateway alone."""
+    return encode_call(number, plan=plan).replace(b"spread=2", b"spread=1")
+
+
 async def count_served(client, first_number):
     """Send many requests of one slow customer; how many of them were served."""
     numbers = range(first_number, first_number + 4 * BURST)
-    replies = [
-        await client.request(encode_call(number, plan="slow").replace(b"spread=2", b"spread=1"))
-        for number in numbers
-    ]
+    replies = [await client.request(encode_own_call(number, "slow")) for number in numbers]
     return sum(reply == b"%016x" % number for reply, number in zip(replies, numbers, strict=True))
 
 
@@ -51,6 +53,6 @@
         await wait_ready(admin_port)
         old.send_signal(signal.SIGTERM)
         assert await count_served(client, 200) == 0
-        assert await client.request(encode_call(300)) == b"%016x" % 300
+        assert await client.request(encode_own_call(300, "free")) == b"%016x" % 300
         assert new.returncode is None
     assert "ERROR" not in capfd.readouterr().err
--- a/tests/unit/test_snapshot.py
+++ b/tests/unit/test_snapshot.py
@@ -15,6 +15,7 @@
 
 RECORDED = Path(__file__).parent.parent / "support" / "snapshots" / "engine-state-4431b5a.json"
 LATER_MS = 10_000.0  # than all times in the record
+EARLY_MS = 100.0  # before most of them
 
 
 def test_snapshot_of_the_version_before_is_read_and_written_without_a_change():
@@ -43,3 +44,14 @@
         harness.do(RestoreState(recorded))
     assert not harness.gateway.customers
     assert not harness.gateway.has_peer_process
+
+
+def test_times_ahead_of_this_process_s_clock_count_as_now():
+    recorded = json.loads(RECORDED.read_text())
+    state = EngineState.from_json(recorded, SETTINGS, EARLY_MS)
+    records = [*state.failures.values(), *(r for e in state.endpoints.values() for r in e.failures.values())]
+    assert records
+    assert all(record.updated.at_ms <= EARLY_MS for record in records)
+    assert all(endpoint.started_ms <= EARLY_MS for endpoint in state.endpoints.values())
+    assert state.started_at_ms <= EARLY_MS
+    assert max(state.detached.values(), default=0.0) <= EARLY_MS
