Take a command whose write failed for one that never ran

A write that fails at once (EPIPE, ETIMEDOUT) leaves the loop's buffer empty, which passed for a command that had gone whole: a request that never reached its server ended as failed where its class may not be repeated. The protocol calls it could not connect.

--- a/quota_gateway/net/upstream_connection.py
+++ b/quota_gateway/net/upstream_connection.py
@@ -144,12 +144,18 @@
         else:
             self.withheld = payload[-WITHHELD_BYTES:]
             self.transport.write(memoryview(payload)[:-WITHHELD_BYTES])
-        if self.transport.get_write_buffer_size() == 0:
+        if self._has_gone():
             self._on_written()
 
+    def _has_gone(self) -> bool:
+        """Whether the kernel has all that was written; a write that failed leaves nothing either."""
+        transport = self.transport
+        return transport is not None and not transport.is_closing() and transport.get_write_buffer_size() == 0
+
     def resume_writing(self) -> None:
-        """All that was written has gone to the kernel."""
-        self._on_written()
+        """All that was written has gone to the kernel, unless the connection has broken."""
+        if self._has_gone():
+            self._on_written()
 
     def _on_written(self) -> None:
         """Write what was withheld, if the client still waits, or note that the command has gone whole."""
@@ -163,7 +169,7 @@
                 self.close(refusal)
                 return
             self.transport.write(withheld)
-            if self.transport.get_write_buffer_size() == 0:
+            if self._has_gone():
                 self._on_fully_sent()
 
     def _on_fully_sent(self) -> None:
