--- a/quota_gateway/net/buffer_budget.py
+++ b/quota_gateway/net/buffer_budget.py
@@ -30,12 +30,13 @@
     not written.
     """
 
-    __slots__ = ("budget", "buffered_bytes", "in_hand_bytes")
+    __slots__ = ("_is_released", "budget", "buffered_bytes", "in_hand_bytes")
 
     def __init__(self, budget: BufferBudget) -> None:
         self.budget = budget
         self.buffered_bytes = 0
         self.in_hand_bytes = 0
+        self._is_released = False
 
     def count(self, size_bytes: int, in_hand: bool = True) -> None:
         """Count bytes that are held, or are not any more.
@@ -44,6 +45,8 @@
             size_bytes: How many more, or fewer where it is negative.
             in_hand: Whether they belong to a command that was taken, or to its reply.
         """
+        if self._is_released:
+            return  # a value that breaks off after its client
         self.buffered_bytes += size_bytes
         self.budget.buffered_bytes += size_bytes
         if in_hand:
@@ -52,3 +55,4 @@
     def release_all(self) -> None:
         """Count nothing more in the budget, at the connection's end."""
         self.budget.buffered_bytes -= self.buffered_bytes
+        self._is_released = True
--- a/quota_gateway/net/client_connection.py
+++ b/quota_gateway/net/client_connection.py
@@ -319,9 +319,11 @@
         self._close(reason, at_once=True)
 
     def close_to_make_room(self) -> bool:
-        """Close the connection, unless a command has come that was not read yet; whether it was closed."""
+        """Close the connection unless an answer or an unread command is on it; whether it was closed."""
         if self.transport is None or self.transport.is_closing():
             return False
+        if self.pending_replies or self.transport.get_write_buffer_size():
+            return False  # an answer is owed, or the loop has not written it yet
         if not self.is_closing and _has_unread_bytes(self.socket):
             return False
         self.abort(CloseReason.MADE_ROOM)
--- a/quota_gateway/net/endpoint_registry.py
+++ b/quota_gateway/net/endpoint_registry.py
@@ -34,7 +34,7 @@
             is_complete = is_cached or bool(document["reset"])
             rows = list(document["instances"])
             generation = int(document["generation"])
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise DiscoveryError(f"endpoint update is malformed: {error!r}") from error
         reader = SnapshotReader(self, is_complete)
         for row in rows:
--- a/quota_gateway/net/idle_connections.py
+++ b/quota_gateway/net/idle_connections.py
@@ -46,7 +46,7 @@
         """End the connection, as its command is overdue."""
 
     def close_to_make_room(self) -> bool:
-        """Close the connection unless a command waits to be read; whether it was closed."""
+        """Close the connection unless an answer or an unread command is on it; whether it was closed."""
 
 
 class IdleConnections:
--- a/quota_gateway/net/json_lines.py
+++ b/quota_gateway/net/json_lines.py
@@ -55,7 +55,7 @@
         if not self._lines:
             try:
                 return json.loads(line)
-            except ValueError:
+            except (ValueError, RecursionError):
                 pass  # perhaps the first line of many
         self._append(line)
         if self._open_brackets > 0:
@@ -79,5 +79,5 @@
     def _parse(self, text: bytes) -> Any:
         try:
             return json.loads(text)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise DiscoveryError(f"not JSON: {error}") from error
--- a/quota_gateway/net/snapshot_reader.py
+++ b/quota_gateway/net/snapshot_reader.py
@@ -219,7 +219,7 @@
         try:
             self.generation = int(fields["generation"])
             self.is_complete_list = bool(fields["reset"])
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise DiscoveryError(f"a field is missing or malformed: {error!r}") from error
         reader = self.reader or self._begin()
         return reader.changes_in_parts(self.generation)
--- a/quota_gateway/net/timer_queue.py
+++ b/quota_gateway/net/timer_queue.py
@@ -55,8 +55,10 @@
     def _fire(self) -> None:
         self._alarm = None
         now_ms = self._clock()
-        while self.entries and self.entries[0][0] <= now_ms:
-            _, _, callback, argument = heapq.heappop(self.entries)
-            callback(argument)
-        if self.entries:
-            self._arm()
+        try:
+            while self.entries and self.entries[0][0] <= now_ms:
+                _, _, callback, argument = heapq.heappop(self.entries)
+                callback(argument)
+        finally:  # one callback that fails must not keep the others
+            if self.entries:
+                self._arm()
--- a/quota_gateway/net/upstream_pool.py
+++ b/quota_gateway/net/upstream_pool.py
@@ -196,6 +196,7 @@
 
     def _sweep(self) -> None:
         """Retire idle connections well before the server does, and give up stalled ones."""
+        self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         idle_before_s = self.loop.time() - self.idle_limit_s
         for host in self.hosts.values():
             host.close_idle_since(idle_before_s)
@@ -203,7 +204,6 @@
         for connection in [c for c in self.connections if c.is_stalled(stalled_before_s)]:
             connection.close(AttemptStatus.RESET)
         self._open_waiting()  # the other process may have closed some of its own
-        self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def close_idle(self, server: int) -> None:
         """Close the idle connections to a server."""
