Go on through system calls that fail for a moment: start, reload, handover, operators' calls

A start ended on ENFILE, ENOBUFS and the like of its listening socket; it went on without the state of the process before, detachments included, where one call on the rendezvous socket failed, or that process was short of descriptors; a folder without room left no way to upgrade. A configuration that was half written or unreadable at SIGHUP left the watch at the old address for good: it is read again for 3 s. The operators' listener was the event loop's own, which closes for good at the first failed accept: it accepts as the clients' does. The soak tells values that break off from connections closed unanswered.

--- a/quota_gateway/net/admin.py
+++ b/quota_gateway/net/admin.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -14,7 +15,9 @@
 
 import httptools
 
+from quota_gateway.net.acceptor import Acceptor, AcceptorOwner
 from quota_gateway.net.address import Address
+from quota_gateway.net.transient_errors import BIND_ERRORS
 from quota_gateway.telemetry import Metrics
 
 log = logging.getLogger(__name__)
@@ -23,6 +26,7 @@
 REQUEST_TIMEOUT_S = 2.0  # for a call, from connecting on: an operator waits 1 s for the answer
 MAX_REQUEST_BYTES = 8192  # of a call, head and body
 MAX_SERVER_NAME_LENGTH = 256  # characters
+LISTEN_RETRY_S = 0.5  # where the address can not be had for a moment
 BACKLOG = 64  # connections that the kernel keeps until they are accepted
 
 READY_TARGET = b"/_ready"
@@ -132,7 +136,7 @@
             self.transport.abort()
 
 
-class AdminServer:
+class AdminServer(AcceptorOwner):
     """Takes the operators' calls, bounded in number, length and time.
 
     Args:
@@ -148,16 +152,40 @@
         self.set_detached = set_detached
         self.metrics = metrics or Metrics()
         self.connections: OrderedDict[AdminConnection, None] = OrderedDict()  # the oldest first
-        self.server: asyncio.Server | None = None
+        self.acceptor = Acceptor(self)
+        self._admission_tasks: set[asyncio.Task[None]] = set()
+        self._listen_retry: asyncio.TimerHandle | None = None
 
-    async def listen(self, address: Address) -> None:
-        """Take calls at this address. One that can't be had is logged: clients are served all the same."""
+    def listen(self, address: Address) -> None:
+        """Take calls at this address.
+
+        One that can't be had is logged, and tried again where that may help: clients are served all the same.
+        """
         try:
-            self.server = await asyncio.get_running_loop().create_server(
-                lambda: AdminConnection(self), *address, reuse_address=True, backlog=BACKLOG
-            )
+            self.acceptor.open(socket.create_server(address, backlog=BACKLOG))
         except OSError as error:
             log.error("admin listener failed host=%s port=%d reason=%r", *address, error)
+            if error.errno in BIND_ERRORS:
+                loop = asyncio.get_running_loop()
+                self._listen_retry = loop.call_later(LISTEN_RETRY_S, self.listen, address)
+
+    def on_accepted(self, sock: socket.socket, waiting_since_s: float) -> None:  # noqa: ARG002 - no deadline
+        """Serve a new connection."""
+        task = asyncio.get_running_loop().create_task(self._admit(sock))
+        self._admission_tasks.add(task)
+        task.add_done_callback(self._admission_tasks.discard)
+
+    async def _admit(self, sock: socket.socket) -> None:
+        try:
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.connect_accepted_socket(lambda: AdminConnection(self), sock)
+        except OSError:
+            sock.close()
+
+    def on_accept_error(self, error: OSError) -> None:
+        """Note that a call of accept has failed; it is tried again soon."""
+        log.warning("admin accept failed reason=%r", error)
 
     def on_connected(self, connection: AdminConnection) -> None:
         """An operator has connected: there is a bound on how many do at once, and on how long each may."""
@@ -206,8 +234,9 @@
 
     def close(self) -> None:
         """Take no more calls."""
-        if self.server:
-            self.server.close()
+        if self._listen_retry:
+            self._listen_retry.cancel()
+        self.acceptor.close()
         for connection in list(self.connections):
             connection.abort()
 
--- a/quota_gateway/net/handover_receiver.py
+++ b/quota_gateway/net/handover_receiver.py
@@ -31,6 +31,8 @@
 
 log = logging.getLogger(__name__)
 
+REQUEST_TIMEOUT_S = 0.5  # for the first answer of the process that serves, where it is asked again
+REQUEST_RETRY_S = 0.02
 OFFER_TIMEOUT_S = 1.5  # for the state, from hello on: a start goes on without it, and is due to be ready
 
 
@@ -47,10 +49,37 @@
 async def request_handover(path: Path | None) -> HandoverState | None:
     """Ask the process that serves for its state; see ``docs/decisions/handover.md``.
 
+    Where either process is short of descriptors or memory for a moment it is asked again: a start without its
+    state knows neither buckets nor detachments.
+
     Returns:
         None if there is no such process, or it is silent or malformed: a start goes on without it.
     """
-    sock = rendezvous.connect(path) if path else None
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + REQUEST_TIMEOUT_S
+    while path:
+        try:
+            return await _request_once(path)
+        except (OSError, ChannelEndedError) as error:
+            if loop.time() > give_up_at:
+                log.warning("handover not requested path=%s reason=%r", path, error)
+                return None
+        await asyncio.sleep(REQUEST_RETRY_S)
+    return None
+
+
+class ChannelEndedError(Exception):
+    """The process that serves has ended the channel without a state."""
+
+
+async def _request_once(path: Path) -> HandoverState | None:
+    """One request.
+
+    Raises:
+        OSError: The system is short of something.
+        ChannelEndedError: No state came.
+    """
+    sock = rendezvous.connect(path)
     if sock is None:
         return None
     channel = ProcessChannel(sock)
@@ -62,7 +91,7 @@
         channel.close("previous process is silent")
         return None
     if message is None:
-        return None
+        raise ChannelEndedError("it ended the channel")
     try:
         return _state_from(channel, message)
     except (HandoverError, OSError) as error:
--- a/quota_gateway/net/handover_sender.py
+++ b/quota_gateway/net/handover_sender.py
@@ -34,6 +34,7 @@
 MAX_QUEUED_PACKETS = 8  # each with a descriptor, that wait for the kernel before more connections follow
 HELLO_TIMEOUT_S = 2.0  # from connecting on: who connects and says nothing holds a descriptor
 SERVING_TIMEOUT_S = 1.5  # from the state on, for the word that the other serves: nobody accepts meanwhile
+LISTEN_RETRY_S = 0.5  # where the path can not be had for a moment
 PASS_INTERVAL_S = 0.005  # between two looks at which connections may be passed on
 
 
@@ -71,6 +72,7 @@
         self.loop = asyncio.get_running_loop()
         self._serving_timeout: asyncio.TimerHandle | None = None
         self._next_pass: asyncio.TimerHandle | None = None
+        self._listen_retry: asyncio.TimerHandle | None = None
         self._reported: DescriptorsInUse | None = None
 
     def _enter(self, state: SenderState) -> None:
@@ -81,7 +83,12 @@
 
     def listen(self) -> None:
         """Wait for a process that takes over. Whatever is at the path is replaced, dead or alive."""
-        listener = rendezvous.listen(self.path) if self.path else None
+        try:
+            listener = rendezvous.listen(self.path) if self.path else None
+        except OSError as error:
+            log.warning("handover listener failed path=%s reason=%r", self.path, error)
+            self._listen_retry = self.loop.call_later(LISTEN_RETRY_S, self.listen)
+            return
         if listener is None:
             return
         self.listener = listener
@@ -90,6 +97,8 @@
 
     def stop_listening(self) -> None:
         """Take no further process. The path is left as it is: another process may have taken it."""
+        if self._listen_retry:
+            self._listen_retry.cancel()
         if self.listener:
             self.loop.remove_reader(self.listener)
             self.listener.close()
@@ -180,14 +189,14 @@
 
     def _pass_connections(self, channel: ProcessChannel) -> None:
         """Pass on each connection on which nothing is owed, and look again in a moment."""
+        if not channel.closed:
+            self._next_pass = self.loop.call_later(PASS_INTERVAL_S, self._pass_connections, channel)
         self.upstream_pool.close_all_idle()
         for client in list(self.clients.connections):
             if channel.closed or channel.queued_packets >= MAX_QUEUED_PACKETS:
                 break
             self._pass_connection(channel, client)
         self._report_descriptors(channel)
-        if not channel.closed:
-            self._next_pass = self.loop.call_later(PASS_INTERVAL_S, self._pass_connections, channel)
 
     def _pass_connection(self, channel: ProcessChannel, client: ClientConnection) -> None:
         try:
--- a/quota_gateway/net/rendezvous.py
+++ b/quota_gateway/net/rendezvous.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from quota_gateway.net.address import Address
+from quota_gateway.net.transient_errors import BIND_ERRORS, SHORTAGE_ERRORS
 
 log = logging.getLogger(__name__)
 
@@ -35,11 +36,17 @@
 
 
 def connect(path: Path) -> socket.socket | None:
-    """Connect to the process that waits at the path; None if there is none, or such sockets are refused."""
+    """Connect to the process that waits at the path; None if there is none, or such sockets are refused.
+
+    Raises:
+        OSError: The system is short of something, or that process is busy; a later call may succeed.
+    """
     try:
         with _short_name(path) as name:
             return _connected(name)
     except OSError as error:
+        if error.errno in SHORTAGE_ERRORS:
+            raise
         if error.errno != errno.ENOENT:  # with nothing there, this is the first process
             log.info("handover not requested path=%s reason=%r", path, error)
         return None
@@ -57,11 +64,17 @@
 
 
 def listen(path: Path) -> socket.socket | None:
-    """Listen at the path, in the place of whatever is there, dead or alive; None if that is refused."""
+    """Listen at the path, in the place of whatever is there, dead or alive; None if that is refused.
+
+    Raises:
+        OSError: The system is short of something, or the folder can't be written; a later call may succeed.
+    """
     try:
         with _short_name(path) as name:
             return _listening(name)
     except OSError as error:
+        if error.errno in BIND_ERRORS:
+            raise
         log.info("handover listener failed path=%s reason=%r", path, error)
         return None
 
--- a/quota_gateway/server.py
+++ b/quota_gateway/server.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import signal
 from collections.abc import Callable
@@ -26,6 +25,7 @@
 from quota_gateway.net.handover_receiver import OFFER_TIMEOUT_S
 from quota_gateway.net.peer_processes import PeerProcesses
 from quota_gateway.net.start_times import StartTimes
+from quota_gateway.net.transient_errors import BIND_ERRORS
 from quota_gateway.net.upstream_pool import UpstreamPool
 from quota_gateway.policy.engine import PolicyEngine
 from quota_gateway.resources import divide_resources
@@ -35,8 +35,10 @@
 
 HANDLED_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT, signal.SIGHUP})
 
-LISTEN_TIMEOUT_S = 5.0  # for an address in use to become free: a new version is due to be ready in 6 s
+LISTEN_TIMEOUT_S = 5.0  # for an address to become free: a new version is due to be ready in 6 s
 LISTEN_RETRY_S = 0.05
+RELOAD_TIMEOUT_S = 3.0  # for a configuration to be readable; what discovery tells counts 4 s after SIGHUP
+RELOAD_RETRY_S = 0.1
 FIRST_UPDATE_TIMEOUT_S = 1.0  # how long the known list, which may be old, waits for discovery's
 
 ACCEPT_PERIOD_S = 0.45  # after SIGTERM: new connections go on coming for 0.4 s
@@ -137,7 +139,7 @@
         self.discovery.load_known(self._initial_endpoints(state))
         self.discovery.watch(self.config.discovery)
         if self.config.admin:
-            await self.admin.listen(self.config.admin)
+            self.admin.listen(self.config.admin)
         self._reload_task = asyncio.create_task(self._reload_on_request(), name="reload-configuration")
         self._reload_task.add_done_callback(_log_failure)
         if not (state and self._take_over(state)):
@@ -193,7 +195,16 @@
         while True:
             await self._reload_requested.wait()
             self._reload_requested.clear()
-            reload_discovery_address(self.config.path, self.discovery)
+            await self._reload()
+
+    async def _reload(self) -> None:
+        """Read the configuration; one that is being written, or can't be read for a moment, is read again."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + RELOAD_TIMEOUT_S
+        while not reload_discovery_address(self.config.path, self.discovery):
+            if self._reload_requested.is_set() or loop.time() > give_up_at:
+                return
+            await asyncio.sleep(RELOAD_RETRY_S)
 
     def _close(self) -> None:
         """Close all parts, also where the start has failed."""
@@ -210,25 +221,28 @@
         log.error("task failed task=%s", task.get_name(), exc_info=task.exception())
 
 
-def reload_discovery_address(path: Path, discovery: DiscoveryClient) -> None:
+def reload_discovery_address(path: Path, discovery: DiscoveryClient) -> bool:
     """Watch discovery where the configuration file names it now, which outranks the environment.
 
-    A file that is missing, half-written or malformed is logged, and the watch stays where it is.
+    Returns:
+        Whether the file could be read. One that is missing, half-written or malformed is logged, and the
+        watch stays where it is.
     """
     try:
         address = read_discovery_address(path)
     except ConfigError as error:
         log.error('configuration reload failed error="%s"', error)
-        return
+        return False
     log.info("discovery address changed host=%s port=%d", *address)
     discovery.watch(address)
+    return True
 
 
 async def listen(clients: ClientListener, address: Address) -> None:
-    """Listen for clients; an address that is still in use is waited for.
+    """Listen for clients; an address in use, or a system that is short of something, is waited for.
 
     Raises:
-        OSError: The address can't be had, or is still in use after ``LISTEN_TIMEOUT_S``.
+        OSError: The address can't be had, or not within ``LISTEN_TIMEOUT_S``.
     """
     loop = asyncio.get_running_loop()
     give_up_at = loop.time() + LISTEN_TIMEOUT_S
@@ -237,7 +251,7 @@
             clients.listen(*address)
             return
         except OSError as error:
-            if error.errno != errno.EADDRINUSE or loop.time() > give_up_at:
+            if error.errno not in BIND_ERRORS or loop.time() > give_up_at:
                 raise
         await asyncio.sleep(LISTEN_RETRY_S)
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -60,6 +60,7 @@
         self.gateway = gateway
         self.request_count = 0
         self.idle_since_s = time.monotonic()
+        self.has_partial_reply = False
         self._parser = hiredis.Reader(replyError=ReplyError)
 
     async def read_reply(self) -> object:
@@ -72,7 +73,9 @@
             data = await self.reader.read(READ_BYTES)
             if not data:
                 raise EOFError
+            self.has_partial_reply = True
             self._parser.feed(data)
+        self.has_partial_reply = self._parser.has_data()
         return reply
 
     def close(self, with_reset: bool = False) -> None:
@@ -275,6 +278,9 @@
             except (EOFError, OSError, hiredis.ProtocolError):
                 for unanswered in records[position:]:
                     unanswered.end = "closed"
+                if connection.has_partial_reply:
+                    record.end = "truncated"
+                for unanswered in records[position:]:
                     self._note_end(unanswered)
                 raise EOFError from None
             except TimeoutError:
--- a/soak/records.py
+++ b/soak/records.py
@@ -20,7 +20,8 @@
         due_s: When its answer is lost: half a second after its time, or after the answers before it.
         lag_s: How late the client's process may have noticed the end.
         end: ``answered``, ``left`` (by the client), ``closed`` (by the gateway), ``silent`` (no answer in
-            time), ``unsent`` (its connection ended before it was written).
+            time), ``unsent`` (its connection ended before it was written), ``truncated`` (the gateway closed
+            within a value, which may have broken off at its server).
         ended_s: When that was.
         reply: The first word of an error, ``value`` for a value that is right, ``wrong`` for one that is not.
     """
--- a/tests/net/test_detachments.py
+++ b/tests/net/test_detachments.py
@@ -149,8 +149,8 @@
         return name.startswith("s-")
 
     server = AdminServer(is_ready, set_detached)
-    await server.listen(("127.0.0.1", 0))
-    port = server.server.sockets[0].getsockname()[1]
+    server.listen(("127.0.0.1", 0))
+    port = server.acceptor.socket.getsockname()[1]
     try:
         yield port, calls, server
     finally:
@@ -262,7 +262,7 @@
         for operation in ("detach", "attach"):
             await send_admin_call(port, encode_post(f"/_servers/{operation}", b"s-1"))
         await send_admin_call(port, encode_post("/_servers/detach", FAILING_SERVER.encode()))
-        await AdminServer(lambda: True, server.set_detached).listen(("127.0.0.1", port))
+        AdminServer(lambda: True, server.set_detached).listen(("127.0.0.1", port))
     messages = [record.getMessage() for record in caplog.records if record.name == admin.__name__]
     assert messages[:3] == [
         "admin call carried out operation=detach server=s-1",
--- a/tests/net/test_handover_faults.py
+++ b/tests/net/test_handover_faults.py
@@ -31,12 +31,13 @@
     async with run_gateway() as old:
         old.handover.sender.path = tmp_path / "rendezvous"
         old.handover.wait()
-        monkeypatch.setattr(handover_sender, "os", FailingDup(1))
+        monkeypatch.setattr(handover_sender, "os", FailingDup(1_000_000))
         assert await request_handover(old.handover.path) is None
         assert not old.client_listener.is_suspended
         assert old.handover.sender.state is SenderState.LISTENING
         assert await (await old.connect_client()).request(encode_command("PING")) == b"PONG"
-        handover_state = await request_handover(old.handover.path)  # the next one gets it
+        monkeypatch.setattr(handover_sender, "os", FailingDup(1))  # it is asked again
+        handover_state = await request_handover(old.handover.path)
         assert handover_state is not None
         handover_state.listener.close()
         handover_state.channel.close("the test is over")
