Time each waiting connection by itself; keep the queue while a handover is undecided

Found by reading, each with a test that fails without it. Connections that another process passed on stood at the head of the list of overdue ones in any order, and one that was due late kept those behind it past the 3 s that bad peers are owed; time in the queue counts as well now. A shutdown in the moment in which another process has the state and does not serve yet closed the listening socket; where that process died, what waited was reset. A retry of a keyed request that takes long to connect is not sent after its window. A process that finds another one just being taken over from asks again for a second.

--- a/quota_gateway/net/acceptor.py
+++ b/quota_gateway/net/acceptor.py
@@ -38,13 +38,15 @@
     Attributes:
         socket: The listening socket, None before it is opened and after it is closed.
         is_accepting: Whether the loop watches it.
-        is_suspended: Whether another process accepts from the queue.
+        is_suspended: Whether nothing is accepted here, as another process takes over.
+        is_shared: Whether that process accepts from the same queue already.
     """
 
     def __init__(self, owner: AcceptorOwner) -> None:
         self.socket: socket.socket | None = None
         self.is_accepting = False
         self.is_suspended = False
+        self.is_shared = False
         self._owner = owner
         self._loop = asyncio.get_running_loop()
         self._waiting_since_s: float | None = None  # since when the queue was not emptied
@@ -80,13 +82,33 @@
             self._loop.remove_reader(self.socket)
 
     def close_when_empty(self) -> None:
-        """Accept what waits already, then close: closing resets what is in the queue."""
+        """Accept what waits already, then close: closing resets what is in the queue.
+
+        Where another process takes over, the queue is its to empty, from when it accepts from it.
+        """
         self._closes_when_empty = True
-        if self.is_suspended:
+        if self.is_shared:
             self.close()
-        elif self.socket:
+        elif not self.is_suspended:
             self._accept()
 
+    def suspend(self) -> None:
+        """Accept nothing, as another process takes over."""
+        self.is_suspended = True
+        self.pause()
+
+    def share(self) -> None:
+        """The other process accepts from the same queue."""
+        self.is_shared = True
+        if self._closes_when_empty:
+            self.close()
+
+    def take_back(self) -> None:
+        """Accept again, as there is no other process after all."""
+        self.is_suspended = False
+        self.is_shared = False
+        self.resume()
+
     def close(self) -> None:
         """Close the socket; what waits in its queue is reset, unless another process has the socket too."""
         self.pause()
--- a/quota_gateway/net/client_listener.py
+++ b/quota_gateway/net/client_listener.py
@@ -5,10 +5,11 @@
 import asyncio
 import logging
 import socket
+import time
 
 from quota_gateway import model as api
 from quota_gateway.net.acceptor import Acceptor, AcceptorOwner
-from quota_gateway.net.arrival import StallDetector
+from quota_gateway.net.arrival import StallDetector, arrival_s
 from quota_gateway.net.buffer_budget import BufferBudget
 from quota_gateway.net.client_connection import ClientConnection, ResumedConnection
 from quota_gateway.net.commands import RequestParser
@@ -104,8 +105,9 @@
         self.idle_connections.make_room()
 
     def on_accepted(self, sock: socket.socket, waiting_since_s: float) -> None:
-        """Serve a new connection."""
-        self.serve(sock, ResumedConnection(waiting_since_s=waiting_since_s))
+        """Serve a new connection; its command is due from when it came."""
+        waited_s = time.monotonic() - arrival_s(sock, waiting_since_s)
+        self.serve(sock, ResumedConnection(command_due_for_s=waited_s, waiting_since_s=waiting_since_s))
 
     def on_accept_error(self, error: OSError) -> None:
         """Note that a call of accept has failed; it is tried again soon."""
@@ -178,15 +180,13 @@
 
     def suspend(self) -> None:
         """Accept and read no more, as another process takes over; what was taken is still answered."""
-        self.acceptor.is_suspended = True
-        self.acceptor.pause()
+        self.acceptor.suspend()
         for connection in list(self.connections):
             connection.intake.update_read_pause(connection)
 
     def resume(self) -> None:
         """Go on as before, as there is no other process after all."""
-        self.acceptor.is_suspended = False
-        self.acceptor.resume()
+        self.acceptor.take_back()
         for connection in list(self.connections):
             connection.intake.read_commands(connection)
 
--- a/quota_gateway/net/handover_receiver.py
+++ b/quota_gateway/net/handover_receiver.py
@@ -31,7 +31,7 @@
 
 log = logging.getLogger(__name__)
 
-REQUEST_TIMEOUT_S = 0.5  # for the first answer of the process that serves, where it is asked again
+REQUEST_TIMEOUT_S = 1.0  # for the first answer of the process that serves, where it is asked again
 REQUEST_RETRY_S = 0.02
 OFFER_TIMEOUT_S = 1.5  # for the state, from hello on: a start goes on without it, and is due to be ready
 
--- a/quota_gateway/net/handover_sender.py
+++ b/quota_gateway/net/handover_sender.py
@@ -183,6 +183,7 @@
             self._serving_timeout.cancel()
             self._serving_timeout = None
         self._enter(SenderState.PASSING_CONNECTIONS)
+        self.clients.acceptor.share()
         self.stop_listening()  # the version after the next asks the one that serves now
         log.info("handover accepted connections=%d", len(self.clients.connections))
         self._pass_connections(channel)
--- a/quota_gateway/net/idle_connections.py
+++ b/quota_gateway/net/idle_connections.py
@@ -75,11 +75,9 @@
 
         Args:
             connection: The connection; a command is due on it.
-            command_due_for_s: For how long that has been, where another process served it before.
+            command_due_for_s: For how long that has been, where it has waited before.
         """
         self.awaiting_command[connection] = self._loop.time() - command_due_for_s
-        if command_due_for_s > 0.0:
-            self.awaiting_command.move_to_end(connection, last=False)
 
     def discard(self, connection: TrackedConnection) -> None:
         """Forget a connection that has ended."""
@@ -135,10 +133,8 @@
     def time_out_overdue(self) -> None:
         """End the connections whose command is overdue, but for those whose body is still arriving."""
         due_before_s = self._loop.time() - COMMAND_TIMEOUT_S
-        while self.awaiting_command:
-            connection, since_s = next(iter(self.awaiting_command.items()))
-            if since_s > due_before_s:
-                break
+        overdue = [item for item, since_s in self.awaiting_command.items() if since_s <= due_before_s]
+        for connection in overdue:  # not in the order of time: some have waited elsewhere before
             del self.awaiting_command[connection]
             self.awaiting_body[connection] = None
         for connection in [item for item in self.awaiting_body if not _is_receiving_body(item)]:
--- a/quota_gateway/net/request_guard.py
+++ b/quota_gateway/net/request_guard.py
@@ -28,6 +28,7 @@
     CLIENT_LEFT = "client_left"
     OUT_OF_TIME = "out_of_time"
     ENCODED_TOO_LONG_AGO = "encoded_too_long_ago"
+    WINDOW_OVER = "window_over"
     BROKEN_RULE = "broken_rule"
 
 
@@ -79,6 +80,10 @@
         if now_ms >= attempt.deadline_ms:
             self._refuse(attempt, StartRefusal.OUT_OF_TIME)
             return AttemptStatus.NOT_SENT
+        first = request.first_possible_execution()
+        if first and first.number < attempt.number and not self._is_repeatable(request, attempt.server):
+            self._refuse(attempt, StartRefusal.WINDOW_OVER)  # while it connected, or was written
+            return AttemptStatus.NOT_SENT
         if now_ms - attempt.encoded_ms > MAX_ENCODED_AGE_MS:
             self._refuse(attempt, StartRefusal.ENCODED_TOO_LONG_AGO)
             return AttemptStatus.CONNECT_FAILED  # it never ran, and may be tried elsewhere
--- a/tests/net/test_accept_faults.py
+++ b/tests/net/test_accept_faults.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from quota_gateway.net.handover import request_handover
 from tests.support.fake_upstream import FakeUpstream
 from tests.support.gateway_node import run_gateway, wait_until
 from tests.support.resp_encoding import encode_call
@@ -53,3 +54,19 @@
         for number, client in enumerate(clients):
             assert await client.read_reply() == b"%016x" % number
         await wait_until(lambda: listener.listening_socket is None)
+
+
+async def test_queue_is_kept_through_a_shutdown_while_another_process_takes_over(tmp_path):
+    async with run_gateway(FakeUpstream()) as gateway:
+        gateway.handover.sender.path = tmp_path / "rendezvous"
+        gateway.handover.wait()
+        handover_state = await request_handover(gateway.handover.path)
+        waiting = await gateway.connect_client()
+        waiting.send(encode_call(1))
+        gateway.client_listener.stop_listening()  # as after SIGTERM; the other process does not serve yet
+        assert gateway.client_listener.is_busy()
+        handover_state.listener.close()
+        handover_state.channel.close("the other process dies")
+        assert await waiting.read_reply() == b"%016x" % 1
+        await wait_until(lambda: gateway.client_listener.listening_socket is None)
+        gateway.handover.close()
--- a/tests/net/test_idle_connections.py
+++ b/tests/net/test_idle_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 
 import pytest
 
@@ -146,3 +147,19 @@
     assert closed == ["once 0", "once 1", "usual 0"]
     tracked.make_room()
     assert closed == ["once 0", "once 1", "usual 0", "usual 1"]
+
+
+async def test_connections_that_have_waited_elsewhere_are_overdue_each_in_its_time(monkeypatch):
+    clock_s, timed_out = [100.0], []
+    monkeypatch.setattr(idle_connections, "COMMAND_TIMEOUT_S", 1.0)
+    monkeypatch.setattr(FakeConnection, "time_out", lambda self: timed_out.append(self.name), raising=False)
+    tracked = IdleConnections()
+    tracked._loop = SimpleNamespace(time=lambda: clock_s[0])
+    for name, waited_s in (("long", 0.9), ("short", 0.1), ("new", 0.0)):
+        tracked.add(FakeConnection(name, is_closing=True), waited_s)
+    clock_s[0] += 0.5
+    tracked.time_out_overdue()
+    assert timed_out == ["long"]
+    clock_s[0] += 0.45
+    tracked.time_out_overdue()
+    assert timed_out == ["long", "short"]
--- a/tests/net/test_request_guard.py
+++ b/tests/net/test_request_guard.py
@@ -137,3 +137,14 @@
     assert harness.telemetry.metrics.value(Metric.INVARIANT_VIOLATIONS, "deadline_not_extended") == 1
     assert "invariant=deadline_not_extended subject=r" in caplog.text
     assert "attempt sent(1)" in caplog.text
+
+
+def test_retry_whose_window_ends_while_it_connects_is_not_sent():
+    harness = GuardHarness()
+    request = harness.request(POST, executed=[(0, "a")])
+    attempt = harness.attempt(request)
+    harness.now_ms = attempt.encoded_ms = 5_999.0
+    assert harness.guard.refusal_to_send(attempt) is None
+    harness.now_ms = attempt.encoded_ms = 6_001.0
+    assert harness.guard.refusal_to_send(attempt) is AttemptStatus.NOT_SENT
+    assert not harness.violations()
