--- a/soak/clients.py
+++ b/soak/clients.py
@@ -34,7 +34,8 @@
 BEHAVIOURS = {
     "steady": 50,
     "pipeline": 8,
-    "leave": 16,
+    "leave": 13,
+    "leave_pipeline": 4,
     "slow_writer": 7,
     "rest": 10,
     "junk": 4,
@@ -59,7 +60,8 @@
         self.writer = writer
         self.gateway = gateway
         self.request_count = 0
-        self.idle_since_s = time.monotonic()
+        self.connected_s = time.monotonic()
+        self.idle_since_s = self.connected_s
         self.has_partial_reply = False
         self._parser = hiredis.Reader(replyError=ReplyError)
 
@@ -155,18 +157,27 @@
     async def _behave_leave(self, connection: SoakConnection) -> None:
         for _ in range(self._random.randint(0, 3)):
             await self._request(connection)
-        data, record = self._make_command(connection)
-        connection.writer.write(data)
-        self._sent(connection, [record])
-        waiting = asyncio.ensure_future(self._read_answers(connection, [record]))
+        await self._send_and_leave(connection, 1)
+
+    async def _behave_leave_pipeline(self, connection: SoakConnection) -> None:
+        """Leave while commands still wait behind those that may be in hand."""
+        await self._send_and_leave(connection, self._random.choice((10, 100)))
+
+    async def _send_and_leave(self, connection: SoakConnection, number: int) -> None:
+        commands = [self._make_command(connection, max_body=300) for _ in range(number)]
+        connection.writer.write(b"".join(data for data, _ in commands))
+        records = self._sent(connection, [record for _, record in commands])
+        waiting = asyncio.ensure_future(self._read_answers(connection, records))
         _, pending = await asyncio.wait([waiting], timeout=0.4 * self._random.random() ** 2)
         if not pending:
             waiting.result()
             return
         connection.close(with_reset=self._random.random() < 0.5)
-        record.ended_s = time.monotonic()
-        record.end = "left"
         waiting.cancel()
+        for record in records:
+            if record.end == "silent":
+                record.end = "left"
+                record.ended_s = time.monotonic()
 
     async def _behave_leave_early(self, connection: SoakConnection) -> None:
         """Send and close in one turn: the gateway may accept a connection that is over."""
@@ -236,6 +247,7 @@
             class_name,
             connection.behaviour,
             connection.gateway,
+            connection.connected_s,
             0.0,
             timeout_s,
             connection.request_count == 0,
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -30,10 +30,17 @@
 VIOLATION_LINE = "invariant violated"
 
 
+_drawn_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """A port of loopback that nobody listens on."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return int(listener.getsockname()[1])
+    """A port of loopback that nobody listens on, and that this run has not drawn before."""
+    while True:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = int(listener.getsockname()[1])
+        if port not in _drawn_ports:
+            _drawn_ports.add(port)
+            return port
 
 
 async def admin_call(port: int, line: bytes, body: bytes = b"") -> tuple[int, str]:
@@ -59,6 +66,7 @@
         self.log_path = log_path
         self.started_s = time.monotonic()
         self.was_killed = False
+        self.was_ready = False
         self.is_overdue = False
         self.stop_sent_s = 0.0
 
@@ -160,6 +168,7 @@
         """Wait until a process is ready; one that is not in time is noted."""
         while time.monotonic() - process.started_s < READY_TIMEOUT_S and process.child.is_running:
             if await process.is_ready():
+                process.was_ready = True
                 return True
             await asyncio.sleep(READY_INTERVAL_S)
         if not process.was_killed:
@@ -238,9 +247,10 @@
         process.send(signal.SIGCONT)
 
     def reload(self) -> None:
-        """SIGHUP to all its processes."""
+        """SIGHUP to its processes that are ready; by TERMS it does not come before."""
         for process in self.processes:
-            process.send(signal.SIGHUP)
+            if process.was_ready:
+                process.send(signal.SIGHUP)
 
     # ---- Detachments
 
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -81,7 +81,7 @@
         """Whether a crash took it, or it crossed a close between requests and was never read."""
         ended_s = request.ended_s or request.due_s
         if any(
-            outage.target == str(request.gateway) and _overlap(outage, request.sent_s, ended_s)
+            outage.target == str(request.gateway) and _overlap(outage, request.connected_s, ended_s)
             for outage in self._outages
         ):
             return True
--- a/soak/records.py
+++ b/soak/records.py
@@ -13,6 +13,7 @@
         class_name: Its class.
         behaviour: How its connection behaves.
         gateway: The gateway that it went to.
+        connected_s: When its connection was opened.
         sent_s: When its last byte was written.
         timeout_s: How long the client waits.
         is_first: Whether it is the first on its connection.
@@ -30,6 +31,7 @@
     class_name: str
     behaviour: str
     gateway: int
+    connected_s: float
     sent_s: float
     timeout_s: float
     is_first: bool
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fault soak: its oracle, its plan, and plays without troubles."""
