--- a/tests/net/test_large_replies.py
+++ b/tests/net/test_large_replies.py
@@ -216,3 +216,53 @@
         assert await peer.read_reply() == LARGE_VALUE
         await slow.wait_until(lambda: slow.closed_connections)
         assert first.on_done is None
+
+
+async def test_value_that_breaks_off_before_others_are_answered_fails_alone():
+    server = FakeUpstream(lambda words: None if words[2].endswith(b"1") else encode_reply(words[2]))
+    async with run_gateway(server) as gateway:
+        client = await gateway.connect_client()
+        client.send(encode_call(1, "buy"), encode_call(2), encode_call(3))
+        await server.wait_until(lambda: len(server.commands) == 3)
+        (first,) = [number for number, words in enumerate(server.commands) if words[2].endswith(b"1")]
+        broken = server.writers[server.connection_numbers[first]]
+        broken.write(VALUE_HEADER + LARGE_VALUE[:100_000])
+        await wait_until(lambda: gateway.client_listener.budget.buffered_bytes > 60_000)
+        broken.close()
+        assert await client.read_reply() == "-ERR failed"
+        assert await client.read_reply() == b"0000000000000002"
+        assert await client.read_reply() == b"0000000000000003"
+
+
+async def test_command_behind_a_value_that_is_being_written_stays_in_the_kernel():
+    server = FakeUpstream(lambda words: None if words[2].endswith(b"1") else encode_reply(words[2]))
+    async with run_gateway(server) as gateway:
+        client = await gateway.connect_client()
+        client.send(encode_call(1))
+        await server.wait_until(lambda: server.commands)
+        server.writers[0].write(VALUE_HEADER + LARGE_VALUE[:100_000])
+        await client.reader.readexactly(50_000)
+        client.send(encode_call(2))
+        await client.writer.drain()
+        server.writers[0].write(LARGE_VALUE[100_000:200_000])
+        await client.reader.readexactly(100_000)
+        (connection,) = gateway.client_listener.connections
+        assert connection.intake.is_read_paused
+        assert len(connection.pending_replies) == 1
+        server.writers[0].close()  # the client sees its value break off, and sends the second again elsewhere
+        await wait_until(lambda: not gateway.client_listener.connections)
+        assert len(server.commands) == 1
+
+
+async def test_commands_go_on_behind_a_value_that_was_written_whole():
+    server = FakeUpstream(lambda words: None if words[2].endswith(b"1") else encode_reply(words[2]))
+    async with run_gateway(server) as gateway:
+        client = await gateway.connect_client()
+        client.send(encode_call(1))
+        await server.wait_until(lambda: server.commands)
+        server.writers[0].write(VALUE_HEADER + LARGE_VALUE[:100_000])
+        await wait_until(lambda: gateway.client_listener.connections)
+        client.send(encode_call(2))
+        server.writers[0].write(LARGE_VALUE[100_000:] + VALUE_END)
+        assert await client.read_reply() == LARGE_VALUE
+        assert await client.read_reply() == b"0000000000000002"
