Let a value that breaks off fail alone: hold it back while others wait behind it

Cause: the first bytes of a large value were written as they came, and the connection was closed where the value broke off, with every request behind it, though those were read. A value is now held back until all of it has come while others wait behind it, as far as there is memory, and fails alone; one that stalls so fails at its deadline. While a value is being written nothing more is read: what comes stays in the kernel, and its client sends it again. A worse fault beside it, met by the test: a value that broke off before its turn was given an error, and its first bytes were written all the same, so that the client took the next replies for its rest.

--- a/quota_gateway/net/active_request.py
+++ b/quota_gateway/net/active_request.py
@@ -16,6 +16,9 @@
     def take(self, piece: bytes) -> None:
         """Write the next bytes."""
 
+    def on_deadline(self) -> bool:
+        """The client's time is over; whether the value fails now."""
+
     def end(self, whole: bool) -> None:
         """Everything has come, or no more will."""
 
--- a/quota_gateway/net/attempt.py
+++ b/quota_gateway/net/attempt.py
@@ -58,6 +58,10 @@
     return None
 
 
+def _not_timed() -> bool:
+    return False
+
+
 def _ignore_sent() -> None:
     """What happens when a command has gone whole and nobody wants to know."""
 
@@ -80,6 +84,7 @@
         "connection",
         "encode_again",
         "on_body_started",
+        "on_deadline",
         "on_done",
         "on_sent",
         "payload",
@@ -103,6 +108,7 @@
         self.on_sent = on_sent
         self.connection: AttemptConnection | None = None
         self.body_consumer: BodyConsumer | None = None  # once a large value has begun
+        self.on_deadline: Callable[[], bool] = _not_timed  # whether a value that has begun fails then
 
     def pause(self, pause: bool) -> None:
         """Read no more of the value for now, or go on."""
@@ -122,5 +128,6 @@
         self.on_body_started = _discard_body
         self.refusal_to_send = _never_refused
         self.on_sent = _ignore_sent
+        self.on_deadline = _not_timed
         if on_done:
             on_done(reply)
--- a/quota_gateway/net/client_connection.py
+++ b/quota_gateway/net/client_connection.py
@@ -235,11 +235,24 @@
                 self.buffers.count(-reply.buffered_bytes)
                 transport.write(reply.reply)
                 continue
+            if self._must_gather(reply):
+                return
             self._write_pieces(transport, reply, reply.pieces)
             if reply.pieces or reply.attempt:
                 return
             self.pending_replies.popleft()
 
+    def _must_gather(self, reply: PendingReply) -> bool:
+        """Whether a large value is held back until all of it has come.
+
+        It may break off, and the connection is closed then if a part of it was written: with others behind
+        it, which are owed their answers, nothing is, as far as there is memory.
+        """
+        if reply.attempt is None or reply.has_started_writing or not reply.may_gather:
+            return False
+        has_others_behind = len(self.pending_replies) > 1 or self.intake.has_partial_command()
+        return has_others_behind and not reply.is_far_ahead()
+
     def _write_pieces(self, transport: asyncio.Transport, reply: PendingReply, pieces: deque[bytes]) -> None:
         """Write what has come of a large value, as far as the client takes it; then its server may go on."""
         while pieces and not self.is_write_blocked:
@@ -248,8 +261,9 @@
             reply.buffered_bytes -= len(piece)
             reply.has_started_writing = True
             transport.write(piece)
-        if reply.attempt and reply.buffered_bytes <= self.buffers.budget.read_ahead_bytes():
+        if reply.attempt and not reply.is_far_ahead():
             reply.attempt.pause(False)
+        self.intake.update_read_pause(self)
 
     # ---- The end
 
@@ -279,6 +293,14 @@
         """Whether a request that was read has no answer yet."""
         return any(reply.reply is None for reply in self.pending_replies)
 
+    def is_next(self, reply: PendingReply) -> bool:
+        """Whether all replies before this one have been written."""
+        return bool(self.pending_replies) and self.pending_replies[0] is reply
+
+    def is_streaming(self) -> bool:
+        """Whether a large value is being written whose end has not come."""
+        return bool(self.pending_replies) and self.pending_replies[0].is_streaming()
+
     def close_truncated(self) -> None:
         """Close within a value that can't be completed; what was written still goes out."""
         self._close(CloseReason.VALUE_TRUNCATED)
--- a/quota_gateway/net/command_intake.py
+++ b/quota_gateway/net/command_intake.py
@@ -60,6 +60,9 @@
     def wants_reply(self) -> bool:
         """Whether the client is still there."""
 
+    def is_streaming(self) -> bool:
+        """Whether a large value is being written whose end has not come."""
+
     def close_if_done(self) -> None:
         """Close between requests, when it is time to."""
 
@@ -181,6 +184,7 @@
         """Whether no more commands may be in hand now."""
         return (
             connection.is_write_blocked
+            or connection.is_streaming()  # which may break off, and the connection with it
             or self._services.is_suspended
             or len(connection.pending_replies) >= MAX_PIPELINED_COMMANDS
             or connection.buffers.in_hand_bytes > MAX_IN_HAND_BYTES
--- a/quota_gateway/net/driver.py
+++ b/quota_gateway/net/driver.py
@@ -222,6 +222,7 @@
         active.first_byte_latency_ms = self.clock() - active.started_ms
         body_writer = request.on_body_started(length, attempt)
         request.body_writer = body_writer
+        attempt.on_deadline = body_writer.on_deadline
         self._maybe_over.append(request)
         self.post(
             StreamStarted(request.request_id, active.number, active.server, active.first_byte_latency_ms)
@@ -261,7 +262,7 @@
         )
 
     def _time_out(self, attempt: Attempt) -> None:
-        if attempt.body_consumer is None:  # of a large value only the first bytes are timed
+        if attempt.body_consumer is None or attempt.on_deadline():
             self.upstream.stop(attempt, AttemptStatus.TIMEOUT)
 
     def _cancel_attempt(self, action: CancelAttempt) -> None:
--- a/quota_gateway/net/pending_reply.py
+++ b/quota_gateway/net/pending_reply.py
@@ -19,6 +19,9 @@
     def flush(self) -> None:
         """Write the replies that are due."""
 
+    def is_next(self, reply: PendingReply) -> bool:
+        """Whether all replies before this one have been written."""
+
     def close_truncated(self) -> None:
         """Close within a value that can't be completed."""
 
@@ -35,6 +38,7 @@
         "buffered_bytes",
         "connection",
         "has_started_writing",
+        "may_gather",
         "pieces",
         "reply",
         "request_id",
@@ -54,10 +58,12 @@
         self.attempt: Attempt | None = None  # that a large value comes from, until all of it has come
         self.pieces: deque[bytes] | None = None  # of a large value, not written yet
         self.has_started_writing = False
+        self.may_gather = True  # whether a large value may be held back until all of it has come
 
     def set_reply(self, reply: bytes) -> None:
-        """Give the command's one reply."""
+        """Give the command's one reply, also in place of a value of which nothing was written."""
         self.reply = reply
+        self.pieces = None
         self.connection.buffers.count(len(reply) - self.buffered_bytes)
         self.buffered_bytes = len(reply)
         self.connection.flush()
@@ -86,9 +92,22 @@
         self.pieces.append(piece)
         self.connection.buffers.count(len(piece))
         self.buffered_bytes += len(piece)
-        self.connection.flush()
-        if self.attempt and self.buffered_bytes > self.connection.buffers.budget.read_ahead_bytes():
+        if self.is_far_ahead() and self.attempt:
             self.attempt.pause(True)
+        self.connection.flush()
+
+    def is_far_ahead(self) -> bool:
+        """Whether more of a large value is held than its client may be behind."""
+        return self.buffered_bytes > self.connection.buffers.budget.read_ahead_bytes()
+
+    def is_streaming(self) -> bool:
+        """Whether a part of a large value has been written, and more of it is still to come."""
+        return self.has_started_writing and self.attempt is not None
+
+    def on_deadline(self) -> bool:
+        """The client's time is over: whether the value fails now, as nothing of it is written in its turn."""
+        self.may_gather = False
+        return not self.has_started_writing and self.connection.is_next(self)
 
     def end(self, whole: bool) -> None:
         """End a large value.
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -137,7 +137,8 @@
             connection = SoakConnection(reader, writer, gateway, behaviour)
             with suppress(OSError, EOFError, TimeoutError):
                 await getattr(self, f"_behave_{behaviour}")(connection)
-            connection.close()
+            with suppress(RuntimeError):
+                connection.close()
 
     # ---- Behaviours
 
--- a/tests/net/test_large_replies.py
+++ b/tests/net/test_large_replies.py
@@ -266,3 +266,53 @@
         server.writers[0].write(LARGE_VALUE[100_000:] + VALUE_END)
         assert await client.read_reply() == LARGE_VALUE
         assert await client.read_reply() == b"0000000000000002"
+
+
+async def test_value_that_is_held_back_and_stalls_fails_at_its_deadline():
+    server = FakeUpstream(lambda words: None if words[2].endswith(b"1") else encode_reply(words[2]))
+    async with run_gateway(server) as gateway:
+        client = await gateway.connect_client()
+        client.send(encode_call(1, timeout_ms=400), encode_call(2))
+        await server.wait_until(lambda: len(server.commands) == 2)
+        (first,) = [number for number, words in enumerate(server.commands) if words[2].endswith(b"1")]
+        server.writers[server.connection_numbers[first]].write(VALUE_HEADER + LARGE_VALUE[:100_000])
+        assert await client.read_reply() == "-ERR failed"
+        assert await client.read_reply() == b"0000000000000002"
+
+
+async def test_value_that_is_held_back_is_written_where_memory_is_short():
+    server = FakeUpstream(lambda words: None if words[2].endswith(b"1") else encode_reply(words[2]))
+    async with run_gateway(server) as gateway:
+        gateway.client_listener.max_buffered_bytes = 400_000
+        client = await gateway.connect_client()
+        client.send(encode_call(1), encode_call(2))
+        await server.wait_until(lambda: len(server.commands) == 2)
+        (first,) = [number for number, words in enumerate(server.commands) if words[2].endswith(b"1")]
+        server.writers[server.connection_numbers[first]].write(VALUE_HEADER + LARGE_VALUE + VALUE_END)
+        assert await client.read_reply() == LARGE_VALUE
+        assert await client.read_reply() == b"0000000000000002"
+
+
+async def test_value_that_breaks_off_before_its_turn_is_an_error_and_nothing_of_it_is_written():
+    server = FakeUpstream(lambda words: encode_reply(words[2]) if words[2].endswith(b"3") else None)
+    async with run_gateway(server) as gateway:
+        client = await gateway.connect_client()
+        client.send(encode_call(1), encode_call(2), encode_call(3))
+        await server.wait_until(lambda: len(server.commands) == 3)
+        first, second = (
+            next(
+                server.writers[server.connection_numbers[number]]
+                for number, words in enumerate(server.commands)
+                if words[2].endswith(last)
+            )
+            for last in (b"1", b"2")
+        )
+        second.write(VALUE_HEADER + LARGE_VALUE[:100_000])
+        await wait_until(lambda: gateway.client_listener.budget.buffered_bytes > 60_000)
+        second.close()
+        await wait_until(lambda: gateway.client_listener.budget.buffered_bytes < 60_000)
+        first.write(encode_reply(b"first"))
+        assert await client.read_reply() == b"first"
+        assert await client.read_reply() == "-ERR failed"
+        assert await client.read_reply() == b"0000000000000003"
+        await wait_until(lambda: not gateway.client_listener.budget.buffered_bytes)
