Make the soak meet planted faults of drains, slow start, reloads and clients that leave

A drain is judged for each gateway by the troubles that could keep it from there, cold servers have a smaller budget, clients leave behind pipelines, and a planted fault brings the troubles without which it does not show.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -64,16 +64,23 @@
 def run_planted(arguments: argparse.Namespace) -> bool:
     """Play each planted fault until the check that is due meets it; whether all were met."""
     all_met = True
-    for name, (_, check) in PLANTED_FAULTS.items():
+    for name, fault in PLANTED_FAULTS.items():
         if arguments.only and name not in arguments.only.split(","):
             continue
         for seed in range(1, arguments.tries + 1):
-            config = SoakConfig(seed, arguments.seconds, troubles_per_s=arguments.troubles, planted=name)
+            config = SoakConfig(
+                seed,
+                arguments.seconds,
+                troubles_per_s=arguments.troubles,
+                planted=name,
+                kinds=fault.kinds,
+            )
             _, violations = play(config, arguments.out / f"{name}-{seed}")
             counts = Counter(violation.check for violation in violations)
-            is_met = counts[check] > 0
+            is_met = counts[fault.check] > 0
             print(
-                f"{name}: seed {seed}, {check} {'met' if is_met else 'NOT met'}: {dict(counts)}", flush=True
+                f"{name}: seed {seed}, {fault.check} {'met' if is_met else 'NOT met'}: {dict(counts)}",
+                flush=True,
             )
             if is_met:
                 break
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -9,7 +9,14 @@
 from soak.clients import JUNK
 from soak.play import MEAN_SERVICE_S, SERVER_CAPACITY
 from soak.records import CommandRecord, Interval, RequestRecord, SoakRecords, Violation
-from soak.settings import DRAIN_GRACE_S, KEYED_WINDOW_S
+from soak.settings import (
+    DRAIN_GRACE_S,
+    INITIAL_CAPACITY_SHARE,
+    KEYED_WINDOW_S,
+    OVERLOAD_FACTOR,
+    OVERLOAD_WINDOW_S,
+    WARM_UP_S,
+)
 
 TIMING_SLACK_S = 0.03  # of the soak's own processes, beside the lag that they have noticed
 DEADLINE_SLACK_S = 0.15  # by which a server may be told more than is left
@@ -19,12 +26,10 @@
 NOTIFIED_S = 1.0  # after a change, where nothing kept it from the gateway
 NOTIFIED_LATEST_S = 6.0  # after a change could be reached, whatever else
 DETACHED_SLACK_S = 0.08  # of what was on its way when the call was answered
-OVERLOAD_WINDOW_S = 2.0
-OVERLOAD_FACTOR = 3.0
-INITIAL_CAPACITY_SHARE = 0.2
-WARM_UP_S = 5.0
 SMALL_BUDGET = 30
-DISCOVERY_KINDS = frozenset(("silent", "refuse", "drop_watches", "reload", "tcp_calls", "file_calls", "stop"))
+DISCOVERY_KINDS = frozenset(("silent", "refuse", "drop_watches", "reload"))
+OUTAGE_KINDS = frozenset(("silent", "refuse", "tcp_calls"))  # in which discovery may not be reached
+GATEWAY_KINDS = frozenset(("tcp_calls", "file_calls", "pause"))
 NEGLIGIBLE_LAG_S = 60.0  # a lag above this says that a server did not read
 
 
@@ -152,26 +157,44 @@
         for position, change in enumerate(changes):
             if change.lifecycle == "Ready":
                 continue
-            later = (item.at_s for item in changes[position + 1 :] if item.server == change.server)
-            end_s = next(later, float("inf"))
-            start_s = self._notified_s(change.at_s) + DRAIN_GRACE_S + TIMING_SLACK_S + DEADLINE_SLACK_S
-            for command in self._received_by(change.server, start_s, end_s):
-                yield Violation("drain", command.request_id, f"{change.lifecycle} {change.server}")
-
-    def _notified_s(self, at_s: float) -> float:
-        """When a change counts as told: soon, or, where something was wrong about then, late."""
-        troubles = [item for item in self._records.troubles if item.kind in DISCOVERY_KINDS]
-        near = [item for item in troubles if _overlap(item, at_s - 5.0, at_s + NOTIFIED_LATEST_S)]
+            returns = (
+                item.at_s
+                for item in changes[position + 1 :]
+                if item.server == change.server and item.lifecycle == "Ready"
+            )
+            end_s = next(returns, float("inf"))
+            for command in self._received_by(change.server, change.at_s, end_s):
+                gateway = self._gateway_of(command)
+                notified_s = self._notified_s(change.at_s, gateway)
+                if command.received_s - command.lag_s > notified_s + DRAIN_GRACE_S + DEADLINE_SLACK_S:
+                    detail = f"{change.lifecycle} {change.server} by n{gateway}"
+                    yield Violation("drain", command.request_id, detail)
+
+    def _gateway_of(self, command: CommandRecord) -> str:
+        request = self._requests.get(command.request_id)
+        return str(request.gateway) if request else ""
+
+    def _notified_s(self, at_s: float, gateway: str) -> float:
+        """When a change counts as told to a gateway.
+
+        That is soon, where discovery and the gateway were well; else 6 s after discovery could be reached.
+        """
+        near = [
+            item
+            for item in self._records.troubles
+            if _overlap(item, at_s - NOTIFIED_LATEST_S, at_s + NOTIFIED_LATEST_S)
+            and (item.kind in DISCOVERY_KINDS or _is_about(item, gateway))
+        ]
         if not near:
             return at_s + NOTIFIED_S
-        return max(at_s, *(item.end_s for item in near)) + NOTIFIED_LATEST_S
+        reachable = [item.end_s for item in near if item.kind in OUTAGE_KINDS]
+        return max([at_s, *reachable]) + NOTIFIED_LATEST_S
 
     def _detached(self) -> Iterator[Violation]:
         for interval in self._records.detachments:
             start_s = interval.start_s + DETACHED_SLACK_S
             for command in self._received_by(interval.kind, start_s, interval.end_s):
-                request = self._requests.get(command.request_id)
-                if request and str(request.gateway) == interval.target:
+                if self._gateway_of(command) == interval.target:
                     detail = f"{interval.kind} by n{interval.target}"
                     yield Violation("detached", command.request_id, detail)
 
@@ -212,5 +235,11 @@
                 yield Violation("process", process.name, f"{process.violations} invariants violated")
 
 
+def _is_about(trouble: Interval, gateway: str) -> bool:
+    """Whether it is a trouble of this gateway that may keep a change from it; a restart is one."""
+    is_its_own = trouble.target == gateway or trouble.target.endswith(f" n{gateway}")
+    return is_its_own and (trouble.kind in GATEWAY_KINDS or trouble.kind in ("stop", "crash"))
+
+
 def _overlap(interval: Interval, start_s: float, end_s: float) -> bool:
     return interval.start_s - TIMING_SLACK_S <= end_s and start_s <= interval.end_s + TIMING_SLACK_S
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -53,15 +53,16 @@
     source = random.Random(f"plan {config.seed}")
     servers = [name for names in config.server_names for name in names]
     number = round(config.seconds * config.troubles_per_s)
+    kinds = source.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()), k=number)
     troubles = [
         Trouble(
-            kind=source.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0],
+            kind=kind,
             at_s=QUIET_START_S + source.random() * (config.seconds - QUIET_START_S),
             for_s=0.5 + 3.5 * source.random(),
             server=source.choice(servers),
             gateway=source.randrange(config.gateways),
             amount=source.random(),
         )
-        for _ in range(number)
+        for kind in (*kinds, *config.kinds)
     ]
     return sorted(troubles, key=lambda trouble: trouble.at_s)
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -6,7 +6,7 @@
 import random
 import sys
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from quota_gateway import __main__ as gateway_main
 from quota_gateway import server as gateway_server
@@ -160,23 +160,31 @@
     ClientConnection.flush = flush  # type: ignore[method-assign]
 
 
-PLANTED_FAULTS: dict[str, tuple[Callable[[], None], str]] = {
-    "extend_deadline": (_extend_deadline, "deadline"),
-    "repeat_unsafe": (_repeat_unsafe, "repeat"),
-    "ignore_client_end": (_ignore_client_end, "client_gone"),
-    "drop_answers": (_drop_answers, "answered"),
-    "ignore_drain": (_ignore_drain, "drain"),
-    "ignore_detach": (_ignore_detach, "detached"),
-    "reject_after_run": (_reject_after_run, "reject"),
-    "mix_values": (_mix_values, "value"),
-    "close_queue_unread": (_close_queue_unread, "answered"),
-    "crash_on_reload": (_crash_on_reload, "process"),
-    "ignore_slow_start": (_ignore_slow_start, "slow_start"),
-    "close_while_owed": (_close_while_owed, "process"),
+class PlantedFault(NamedTuple):
+    """A fault, the oracle's check that is due to meet it, and troubles without which it does not show."""
+
+    plant: Callable[[], None]
+    check: str
+    kinds: tuple[str, ...] = ()
+
+
+PLANTED_FAULTS: dict[str, PlantedFault] = {
+    "extend_deadline": PlantedFault(_extend_deadline, "deadline"),
+    "repeat_unsafe": PlantedFault(_repeat_unsafe, "repeat", ("reset_under", "fail")),
+    "ignore_client_end": PlantedFault(_ignore_client_end, "client_gone", ("slow", "busy", "busy", "hang")),
+    "drop_answers": PlantedFault(_drop_answers, "answered"),
+    "ignore_drain": PlantedFault(_ignore_drain, "drain", ("drain", "drain")),
+    "ignore_detach": PlantedFault(_ignore_detach, "detached", ("detach", "detach")),
+    "reject_after_run": PlantedFault(_reject_after_run, "reject", ("fail", "reset_under")),
+    "mix_values": PlantedFault(_mix_values, "value"),
+    "close_queue_unread": PlantedFault(_close_queue_unread, "answered", ("restart", "restart", "tcp_calls")),
+    "crash_on_reload": PlantedFault(_crash_on_reload, "process", ("reload",)),
+    "ignore_slow_start": PlantedFault(_ignore_slow_start, "slow_start", ("replace", "replace", "replace")),
+    "close_while_owed": PlantedFault(_close_while_owed, "process"),
 }
-"""The planted faults by name: what plants one, and the oracle's check that is due to meet it."""
+"""The planted faults by name."""
 
 
 if __name__ == "__main__":
-    PLANTED_FAULTS[os.environ["SOAK_PLANTED"]][0]()
+    PLANTED_FAULTS[os.environ["SOAK_PLANTED"]].plant()
     sys.exit(gateway_main.main())
--- a/soak/play.py
+++ b/soak/play.py
@@ -29,7 +29,7 @@
 
 SERVER_CAPACITY = 4
 MEAN_SERVICE_S = 0.045
-DRAIN_S = 10.0
+DRAIN_S = 11.0
 GONE_S = 1.0
 MAX_PAUSE_S = 0.12
 MAX_FAULT_PERCENT = 15.0
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -12,6 +12,10 @@
 DEADLINE_S = 1.5
 DRAIN_GRACE_S = 1.0
 KILL_GRACE_S = 0.7
+INITIAL_CAPACITY_SHARE = 0.1
+WARM_UP_S = 5.0
+OVERLOAD_FACTOR = 2.0
+OVERLOAD_WINDOW_S = 2.0
 CLASSES = {"read": "safe", "keyed": "keyed", "order": "unsafe"}
 """The classes by name, and whether they may be repeated, in the words of the settings."""
 
@@ -31,6 +35,7 @@
         memory_mb: The most memory of all processes.
         processes: The most processes.
         planted: The name of a planted fault; none by default.
+        kinds: Troubles that are added to those that are drawn, so many of each as it is named.
     """
 
     seed: int
@@ -44,6 +49,7 @@
     memory_mb: int = 8000
     processes: int = 40
     planted: str = ""
+    kinds: tuple[str, ...] = ()
 
     @property
     def server_names(self) -> list[list[str]]:
@@ -71,6 +77,12 @@
     ]
     document["tariffs"][0].update(name="free", refill=0.0, most_at_once=0.0)
     document["limits"].update(may_duplicate=may_duplicate, open_cap=400, idle_close_ms=4000.0)
-    document["contract"].update(drain_grace_ms=1000.0 * DRAIN_GRACE_S, warm_up_ms=5000.0)
+    document["contract"].update(
+        drain_grace_ms=1000.0 * DRAIN_GRACE_S,
+        start_capacity=INITIAL_CAPACITY_SHARE,
+        warm_up_ms=1000.0 * WARM_UP_S,
+        tip_multiple=OVERLOAD_FACTOR,
+        fall_ms=1000.0 * OVERLOAD_WINDOW_S,
+    )
     document["load_info"] = {"how": "answers", "names": ["busy", "q"]}
     return document
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -154,4 +154,4 @@
 
 def test_each_planted_fault_is_due_to_be_met_by_a_check_that_is_tried_here():
     tried = {check for item in CASES.values() for check in item.checks}
-    assert {check for _, check in PLANTED_FAULTS.values()} <= tried
+    assert {fault.check for fault in PLANTED_FAULTS.values()} <= tried
