Read on behind a large value in a long pipeline; read a configuration again at the start

Both seen by the soak. The soak took its own time-outs for closed connections, as TimeoutError is an OSError, and its own closes for the gateway's.

--- a/quota_gateway/config.py
+++ b/quota_gateway/config.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -12,6 +13,7 @@
 from quota_gateway.json_document import JsonObject, invalid_field
 from quota_gateway.model import Settings
 from quota_gateway.net.address import Address
+from quota_gateway.net.transient_errors import READ_ERRORS
 from quota_gateway.resources import MEGABYTE, count_open_descriptors
 from quota_gateway.settings_format import settings_from_document
 
@@ -19,6 +21,8 @@
 MAX_PORT = (1 << 16) - 1
 PORT_DIGITS = re.compile("0*[0-9]{1,5}")  # a longer number is no port, and costs time to convert
 SEED_BASE = 16  # the seed is written in hexadecimal digits
+READ_ATTEMPTS = 10  # at the start, which nothing else would begin anew
+READ_RETRY_S = 0.02  # a reload does not block the loop so: it tries again by itself
 
 
 @dataclass(frozen=True)
@@ -79,9 +83,9 @@
         raise invalid_field(document.path_of("seed"), text, "is not a hexadecimal number") from None
 
 
-def _read_document(path: Path) -> JsonObject:
+def _read_document(path: Path, attempts: int = 1) -> JsonObject:
     try:
-        content = json.loads(path.read_text())
+        content = json.loads(_read_text(path, attempts))
     except OSError as error:
         raise ConfigError(f"EDGE_CONFIG: the file can not be read: {error}") from None
     except (ValueError, RecursionError) as error:
@@ -89,6 +93,22 @@
     return JsonObject(content, DOCUMENT)
 
 
+def _read_text(path: Path, attempts: int) -> str:
+    """Read the file; a read that fails in a way that passes is tried again, so many times in all.
+
+    Raises:
+        OSError: It can't be read.
+    """
+    for _ in range(attempts - 1):
+        try:
+            return path.read_text()
+        except OSError as error:
+            if error.errno not in READ_ERRORS:
+                raise
+        time.sleep(READ_RETRY_S)
+    return path.read_text()
+
+
 def _address(environment: Mapping[str, str], variable: str, document: JsonObject, key: str) -> Address:
     """The address in the environment, where it is set there, else in the document."""
     override = environment.get(variable)
@@ -107,7 +127,7 @@
     if file_name is None:
         raise ConfigError("EDGE_CONFIG: is not set; it names the configuration file")
     path = Path(file_name)
-    document = _read_document(path)
+    document = _read_document(path, READ_ATTEMPTS)
     limits = document.nested("limits")
     has_admin = environment.get("EDGE_MGMT") or document.optional("mgmt")
     return Config(
--- a/quota_gateway/net/client_connection.py
+++ b/quota_gateway/net/client_connection.py
@@ -263,7 +263,8 @@
             transport.write(piece)
         if reply.attempt and not reply.is_far_ahead():
             reply.attempt.pause(False)
-        self.intake.update_read_pause(self)
+        if reply.is_streaming():
+            self.intake.update_read_pause(self)
 
     # ---- The end
 
--- a/quota_gateway/net/transient_errors.py
+++ b/quota_gateway/net/transient_errors.py
@@ -27,6 +27,8 @@
 # Where an address or a name is taken: another socket, or a full or failing folder, is in the way for a while.
 BIND_ERRORS = SHORTAGE_ERRORS | {errno.EADDRINUSE, errno.EDQUOT, errno.EIO, errno.ENOSPC}
 
+READ_ERRORS = SHORTAGE_ERRORS | {errno.EIO}  # of a file that is there
+
 
 def errno_name(error: OSError) -> str:
     """The name of an error's number, for metrics."""
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -226,10 +226,10 @@
         try:
             await asyncio.wait_for(connection.read_reply(), PEER_GRACE_S + EXTRA_WAIT_S)
             record.end = "answered"
-        except (EOFError, OSError, hiredis.ProtocolError):
-            record.end = "closed"
         except TimeoutError:
             record.end = "silent"
+        except (EOFError, OSError, hiredis.ProtocolError):
+            record.end = "closed"
         self._note_end(record)
 
     # ---- Requests
@@ -288,26 +288,30 @@
             try:
                 wait_s = record.due_s + EXTRA_WAIT_S - time.monotonic()
                 reply = await asyncio.wait_for(connection.read_reply(), max(0.01, wait_s))
-            except (EOFError, OSError, hiredis.ProtocolError):
-                for unanswered in records[position:]:
-                    unanswered.end = "closed"
-                if connection.has_partial_reply:
-                    record.end = "truncated"
-                for unanswered in records[position:]:
-                    self._note_end(unanswered)
-                raise EOFError from None
             except TimeoutError:
                 self._note_end(record)
                 for unread in records[position + 1 :]:
                     unread.end = "left"
                     self._note_end(unread)
                 raise
+            except (EOFError, OSError, hiredis.ProtocolError):
+                self._note_closed(connection, records[position:])
+                raise EOFError from None
             record.end = "answered"
             record.reply = _describe(reply, record.request_id)
             self._note_end(record)
             before_s = record.ended_s
         connection.idle_since_s = time.monotonic()
 
+    def _note_closed(self, connection: SoakConnection, unanswered: list[RequestRecord]) -> None:
+        """Note requests whose connection has ended, unless the client ended it itself."""
+        for record in unanswered:
+            if record.end == "silent":
+                record.end = "closed"
+                self._note_end(record)
+        if connection.has_partial_reply and unanswered[0].end == "closed":
+            unanswered[0].end = "truncated"
+
     def _note_end(self, record: RequestRecord) -> None:
         record.ended_s = time.monotonic()
         record.lag_s = self._lag.seconds()
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -21,6 +21,7 @@
 from quota_gateway.policy.slow_start import SlowStart
 
 RARE_SHARE = 0.01
+DROPPED_SHARE = 0.05
 EXTRA_TIMEOUT_MS = 400.0
 
 # Any: each planted fault takes the place of a method, whatever its signature.
@@ -68,7 +69,7 @@
     original: Patched = Driver._answer
 
     def answer(self: Driver, request: Any, data: bytes) -> None:
-        if random.random() < RARE_SHARE:
+        if random.random() < DROPPED_SHARE:
             request.answered = True
         else:
             original(self, request, data)
--- a/tests/net/test_large_replies.py
+++ b/tests/net/test_large_replies.py
@@ -6,6 +6,7 @@
 
 from quota_gateway.errors import ProtocolError
 from quota_gateway.net import upstream_pool
+from quota_gateway.net.command_intake import MAX_PIPELINED_COMMANDS
 from quota_gateway.net.resp import ReplyReader
 from tests.support.fake_upstream import FakeUpstream
 from tests.support.gateway_node import HEDGING_LIMITS, run_gateway, wait_until
@@ -316,3 +317,23 @@
         assert await client.read_reply() == "-ERR failed"
         assert await client.read_reply() == b"0000000000000003"
         await wait_until(lambda: not gateway.client_listener.budget.buffered_bytes)
+
+
+async def test_commands_that_wait_behind_a_large_value_in_a_long_pipeline_are_all_answered():
+    large = b"%016x" % 30
+    server = FakeUpstream(lambda words: None if words[2] in (b"%016x" % 1, large) else encode_reply(words[2]))
+    async with run_gateway(server, max_connections=200) as gateway:
+        client = await gateway.connect_client()
+        client.send(*(encode_call(number) for number in range(1, 151)))
+        await server.wait_until(lambda: len(server.commands) == MAX_PIPELINED_COMMANDS)
+        writers = {
+            words[2]: server.writers[server.connection_numbers[number]]
+            for number, words in enumerate(server.commands)
+        }
+        writers[large].write(VALUE_HEADER + LARGE_VALUE[:200_000] + LARGE_VALUE[200_000:] + VALUE_END)
+        await wait_until(lambda: len(gateway.driver.active_requests) == 1)  # all but the first are answered
+        writers[b"%016x" % 1].write(encode_reply(b"first"))
+        assert await client.read_reply() == b"first"
+        for number in range(2, 151):
+            value = await client.read_reply()
+            assert value == (LARGE_VALUE if number == 30 else b"%016x" % number)
--- a/tests/soak/test_play.py
+++ b/tests/soak/test_play.py
@@ -37,8 +37,9 @@
         **{name: getattr(QUIET, name) for name in QUIET.__struct_fields__} | {"planted": planted}
     )
     records = asyncio.run(SoakPlay(config, tmp_path).run())
-    assert Counter(request.end for request in records.requests)["answered"] > 50
+    answered = Counter(request.end for request in records.requests)["answered"]
     checks = Counter(violation.check for violation in Oracle(records).violations())
     assert ("answered" in checks) == bool(planted)
     if not planted:
         assert not checks
+        assert answered > 50
--- a/tests/unit/test_config.py
+++ b/tests/unit/test_config.py
@@ -1,6 +1,7 @@
 """From environment and configuration file to ``Config``, and what a malformed one is told."""
 
 import copy
+import errno
 import json
 from dataclasses import dataclass
 from pathlib import Path
@@ -221,3 +222,25 @@
 def test_long_value_is_cut_in_the_error():
     text = str(invalid_field("config.listen", "x" * 10_000, "is not an address"))
     assert text == f"config.listen: '{'x' * (MAX_SHOWN_CHARACTERS - 1)}... is not an address"
+
+
+@pytest.mark.parametrize("error", [errno.EIO, errno.EINTR, errno.ENFILE, errno.ENOMEM])
+def test_start_reads_a_file_again_that_can_not_be_read_for_a_moment(tmp_path, monkeypatch, error):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(DOCUMENT))
+    failures, read_text = [error, error], Path.read_text
+
+    def fail_first(self):
+        if failures:
+            raise OSError(failures.pop(), "fault of the test")
+        return read_text(self)
+
+    monkeypatch.setattr(Path, "read_text", fail_first)
+    assert load_config({"EDGE_CONFIG": str(path)}).listen == ("127.0.0.1", 7001)
+    assert not failures
+
+
+def test_start_does_not_read_a_file_again_that_is_missing(tmp_path, monkeypatch):
+    monkeypatch.setattr("quota_gateway.config.time", None)  # nothing waits
+    with pytest.raises(ConfigError, match="can not be read"):
+        load_config({"EDGE_CONFIG": str(tmp_path / "missing.json")})
