Let no two plays of the soak share a port

Servers and links listened with SO_REUSEPORT, and the kernel gave one play's port to another one's that ran beside it: commands of one were recorded in the other. They listen without it.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -28,7 +28,7 @@
 
     async def listen(self) -> None:
         """Listen, at the same port as before if there was one."""
-        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", self.port, reuse_port=True)
+        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self.listener.sockets[0].getsockname()[1]
 
     def cut(self) -> None:
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -49,7 +49,7 @@
     async def listen(self, lag: LoopLag) -> None:
         """Listen, at the same port as before if there was one."""
         self.listener = await asyncio.get_running_loop().create_server(
-            lambda: SoakServerConnection(self, lag), "127.0.0.1", self.port, reuse_port=True
+            lambda: SoakServerConnection(self, lag), "127.0.0.1", self.port
         )
         self.port = self.listener.sockets[0].getsockname()[1]
 
