--- a/soak/clients.py
+++ b/soak/clients.py
@@ -135,7 +135,8 @@
                 continue
             behaviour = self._random.choices(list(BEHAVIOURS), list(BEHAVIOURS.values()))[0]
             connection = SoakConnection(reader, writer, gateway, behaviour)
-            with suppress(OSError, EOFError, TimeoutError):
+            # RuntimeError: the loop's word for a write on a connection that is closed
+            with suppress(OSError, EOFError, TimeoutError, RuntimeError):
                 await getattr(self, f"_behave_{behaviour}")(connection)
             with suppress(RuntimeError):
                 connection.close()
