Read a half-written configuration again at the start; probe the queue when accepting goes on

Found by reading: after a pause of accepting, the next connection passed for one that had waited since then where the kernel does not tell, however late it came; the queue is looked at once when accepting goes on. The soak takes a new version that does not get ready for its own violation alone.

--- a/quota_gateway/config.py
+++ b/quota_gateway/config.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from quota_gateway.errors import ConfigError
 from quota_gateway.json_document import JsonObject, invalid_field
@@ -85,7 +86,7 @@
 
 def _read_document(path: Path, attempts: int = 1) -> JsonObject:
     try:
-        content = json.loads(_read_text(path, attempts))
+        content = _read_json(path, attempts)
     except OSError as error:
         raise ConfigError(f"EDGE_CONFIG: the file can not be read: {error}") from None
     except (ValueError, RecursionError) as error:
@@ -93,20 +94,24 @@
     return JsonObject(content, DOCUMENT)
 
 
-def _read_text(path: Path, attempts: int) -> str:
-    """Read the file; a read that fails in a way that passes is tried again, so many times in all.
+def _read_json(path: Path, attempts: int) -> Any:
+    """Read the file; one that fails in a way that passes, or is half written, is read so many times in all.
 
     Raises:
         OSError: It can't be read.
+        ValueError: It is no JSON.
+        RecursionError: It is nested too deeply.
     """
     for _ in range(attempts - 1):
         try:
-            return path.read_text()
+            return json.loads(path.read_text())
         except OSError as error:
             if error.errno not in READ_ERRORS:
                 raise
+        except ValueError:
+            pass  # perhaps it is just being written
         time.sleep(READ_RETRY_S)
-    return path.read_text()
+    return json.loads(path.read_text())
 
 
 def _address(environment: Mapping[str, str], variable: str, document: JsonObject, key: str) -> Address:
--- a/quota_gateway/net/acceptor.py
+++ b/quota_gateway/net/acceptor.py
@@ -59,7 +59,7 @@
         listening_socket.setblocking(False)
         self.socket = listening_socket
         self._closes_when_empty = False
-        self._waiting_since_s = time.monotonic() - waited_s
+        self._waiting_since_s = time.monotonic() - waited_s if waited_s else None
         self.resume()
 
     def resume(self) -> None:
@@ -67,11 +67,18 @@
         if self._retry_timer:
             self._retry_timer.cancel()
             self._retry_timer = None
-        if self.socket and not self.is_accepting and not self.is_suspended:
+        if self.socket is None or self.is_suspended:
+            return
+        if not self.is_accepting:
             self.is_accepting = True
             self._loop.add_reader(self.socket, self._accept)
-            if self._closes_when_empty:  # the loop does not tell that nothing waits
-                self._loop.call_soon(self._accept)
+        if self._closes_when_empty or self._waiting_since_s is not None:
+            self._loop.call_soon(self._probe)
+
+    def _probe(self) -> None:
+        """Look whether anything waits, if there is room: the loop does not tell that nothing does."""
+        if self.is_accepting and self._owner.free_places() > 0:
+            self._accept()
 
     def pause(self) -> None:
         """Leave new connections in the kernel."""
@@ -123,7 +130,7 @@
 
         A place is free only once the loop has closed its descriptor: the owner calls ``resume`` then.
         """
-        if self.socket is None:
+        if self.socket is None or self.is_suspended:
             return
         if self._owner.free_places() <= 0:
             self.pause()
@@ -132,10 +139,7 @@
         for _ in range(min(MAX_ACCEPTS_PER_TURN, self._owner.free_places())):
             if self.socket is None or not self._accept_one(self.socket):
                 return
-        if self._closes_when_empty:
-            self._loop.call_soon(self._accept)
-        else:
-            self.resume()  # the rest of the queue in the next turn
+        self.resume()  # the rest of the queue in the next turn
 
     def _accept_one(self, listening_socket: socket.socket) -> bool:
         """Accept one connection; whether to go on."""
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -210,8 +210,6 @@
         old = self.current
         if await self.wait_until_ready(await self.start()):
             await self._end(old, UPGRADE_END_TIMEOUT_S)
-        else:
-            old.kill()
 
     async def upgrade_new_dies(self, after_s: float) -> None:
         """The new version is killed a while after its start; the old one has to serve on."""
--- a/tests/net/test_arrival.py
+++ b/tests/net/test_arrival.py
@@ -137,3 +137,17 @@
         gateway.client_listener.acceptor.resume()
         assert await asyncio.wait_for(client.read_reply(), 5.0) == "-BUSY"
         assert not upstream.commands
+
+
+async def test_connection_that_comes_long_after_a_pause_has_not_waited(clock, monkeypatch):
+    monkeypatch.setattr(arrival, "seconds_since_data", lambda _: None)  # the kernel does not tell
+    upstream = FakeUpstream()
+    async with run_gateway(upstream) as gateway:
+        gateway.client_listener.acceptor.pause()
+        gateway.client_listener.acceptor.resume()
+        await wait_until(lambda: gateway.client_listener.acceptor._waiting_since_s is None)
+        clock.offset_s = WAIT_S
+        await wait_until(lambda: gateway.client_listener.stalls.earliest_s() >= clock.monotonic() - 0.05)
+        client = await gateway.connect_client()
+        assert await client.request(encode_call(1, timeout_ms=TIMEOUT_MS)) == b"%016x" % 1
+        assert told_ms(upstream.commands[0]) > TIMEOUT_MS - 1000.0 * WAIT_S
