--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -26,6 +26,7 @@
 ADMIN_TIMEOUT_S = 1.5
 END_CHECK_S = 0.01
 UPGRADE_END_TIMEOUT_S = 5.0
+RESUME_S = 0.2
 VIOLATIONS_AT_END = re.compile(r"shutdown complete .*violations=(\d+)")
 VIOLATION_LINE = "invariant violated"
 
@@ -207,27 +208,34 @@
 
     async def upgrade(self) -> None:
         """A new version beside the old one, then SIGTERM to that."""
-        old = self.current
-        if await self.wait_until_ready(await self.start()):
+        old, new = self.current, await self.start()
+        if await self.wait_until_ready(new):
             await self._end(old, UPGRADE_END_TIMEOUT_S)
+        else:
+            await self._kill_new(old, new)
 
     async def upgrade_new_dies(self, after_s: float) -> None:
         """The new version is killed a while after its start; the old one has to serve on."""
         old, new = self.current, await self.start()
         await asyncio.sleep(after_s)
         start_s = time.monotonic()
-        new.kill()
-        await new.wait_for_end(1.0)
-        self.outages.append(Interval("new dies", str(self.index), start_s, time.monotonic()))
-        self.processes.remove(new)
-        self.processes.insert(self.processes.index(old), new)
-        await asyncio.sleep(0.2)
+        await self._kill_new(old, new)
+        await asyncio.sleep(RESUME_S)
         while not await old.is_ready() and time.monotonic() - start_s < READY_TIMEOUT_S:  # noqa: ASYNC110
             await asyncio.sleep(READY_INTERVAL_S)
         if not await old.is_ready():
             detail = "does not serve on after the new version died"
             self.start_violations.append(Violation("start", old.child.name, detail))
 
+    async def _kill_new(self, old: GatewayProcess, new: GatewayProcess) -> None:
+        """Kill a new version; the old one is the current process again."""
+        start_s = time.monotonic()
+        new.kill()
+        await new.wait_for_end(1.0)
+        self.outages.append(Interval("new dies", str(self.index), start_s, time.monotonic()))
+        self.processes.remove(new)
+        self.processes.insert(self.processes.index(old), new)
+
     async def upgrade_old_dies(self) -> None:
         """The old version is killed as soon as the new one serves."""
         old = self.current
