--- a/quota_gateway/net/driver.py
+++ b/quota_gateway/net/driver.py
@@ -174,21 +174,36 @@
         if request is None:
             log.error("attempt started after request end action=%r", action)
             return
+        active = self._next_attempt(request, action)
+        self.telemetry.trace.add(request.request_id, "attempt started", action.server)
+        if not self._guard.may_start(active):
+            self._report_outcome(active, UpstreamReply(AttemptStatus.NOT_SENT))
+            return
+        attempt = self._make_attempt(active)
+        if active.number:
+            self.telemetry.metrics.count(Metric.RETRIES, "hedge" if request.attempts else "failure")
+        request.attempts[active.number] = attempt
+        request.executions[active.number] = active.execution
+        self.upstream.start(action.server, attempt)
+        if active.number in request.attempts:
+            self.timers.call_at(active.deadline_ms, self._time_out, attempt)
+
+    def _next_attempt(self, request: ActiveRequest, action: StartAttempt) -> ActiveAttempt:
+        """Number the next attempt of a request; it ends with the client's time, or before."""
         number = request.attempt_count
         request.attempt_count += 1
         now_ms = self.clock()
-        timeout_ms = request.deadline_ms - now_ms
+        deadline_ms = request.deadline_ms
         if action.timeout_ms:
-            timeout_ms = min(timeout_ms, action.timeout_ms)
+            deadline_ms = min(deadline_ms, now_ms + action.timeout_ms)
         host = self.upstream.hosts.get(action.server, NO_HOST)
         execution = ExecutedAttempt(number, now_ms, host.zone, host.cell)
-        active = ActiveAttempt(request, execution, action.server, now_ms + timeout_ms)
-        self.telemetry.trace.add(request.request_id, "attempt started", action.server)
-        if not self._guard.may_start(active):
-            self._report_outcome(active, UpstreamReply(AttemptStatus.NOT_SENT))
-            return
+        return ActiveAttempt(request, execution, action.server, deadline_ms)
+
+    def _make_attempt(self, active: ActiveAttempt) -> Attempt:
+        """What the upstream pool carries of an attempt: its command, and whom it tells."""
         attempt = Attempt(
-            request.encode(timeout_ms),
+            active.request.encode(active.deadline_ms - active.started_ms),
             partial(self._on_attempt_done, active),
             partial(self._on_body_started, active),
             partial(self._encode_again, active),
@@ -196,13 +211,7 @@
             partial(self._guard.on_sent, active),
         )
         active.attempt = attempt
-        request.attempts[number] = attempt
-        request.executions[number] = execution
-        self.upstream.start(action.server, attempt)
-        if number:
-            self.telemetry.metrics.count(Metric.RETRIES, "hedge" if len(request.attempts) > 1 else "failure")
-        if number in request.attempts:
-            self.timers.call_at(active.deadline_ms, self._time_out, attempt)
+        return attempt
 
     def _encode_again(self, active: ActiveAttempt) -> bytes:
         """Encode the command with what is left of its time, as connecting may have taken a while."""
