--- /dev/null
+++ b/tests/process/test_late_signals.py
@@ -0,0 +1,33 @@
+"""Signals that come while a process is about to end."""
+
+import shlex
+import signal
+import sys
+
+import pytest
+
+from tests.support.gateway_host import gateway_host, wait_ready
+
+# The program of the deploy file, which gets a signal when its event loop has been closed and the interpreter
+# has given signals back their default, as it does at its end.
+PROGRAM = """
+import os, signal, uvloop
+from quota_gateway import __main__ as gateway
+run = uvloop.run
+def run_then_signal(coroutine):
+    run(coroutine)
+    signal.signal({number}, signal.SIG_DFL)
+    os.kill(os.getpid(), {number})
+gateway.uvloop.run = run_then_signal
+raise SystemExit(gateway.main())
+"""
+
+
+@pytest.mark.parametrize("late", [signal.SIGHUP, signal.SIGTERM])
+async def test_signal_that_comes_when_all_is_answered_changes_nothing(tmp_path, late):
+    program = f"exec {sys.executable} -c {shlex.quote(PROGRAM.format(number=int(late)))}"
+    async with gateway_host(tmp_path) as host:
+        process, admin_port = await host.start(program=program)
+        await wait_ready(admin_port)
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -138,6 +138,11 @@
         commands=[command(0.001 * number, request_id=f"{number}") for number in range(200)],
         troubles=[interval("cold", 0.0, 0.0, target="s-1")],
     ),
+    "cold server, of whose start nobody was told": case(
+        requests=[],
+        commands=[command(0.001 * number, request_id=f"{number}") for number in range(200)],
+        troubles=[interval("cold", 0.0, 0.0, target="s-1"), interval("refuse", -1.0, 4.0, target="s-2 n1")],
+    ),
     "crashed": case("process", processes=[process(exit_code=1)]),
     "killed": case(processes=[process(exit_code=-9, was_killed=True)]),
     "overdue": case("process", processes=[process(was_killed=True, is_overdue=True)]),
