--- a/quota_gateway/server.py
+++ b/quota_gateway/server.py
@@ -209,8 +209,8 @@
     def _close(self) -> None:
         """Close all parts, also where the start has failed.
 
-        Signals are blocked first: the interpreter's end gives them back their default, by which one that comes
-        late would kill the process.
+        Signals are blocked first: the interpreter's end gives them back their default, by which one that
+        comes late would kill the process.
         """
         signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
         if self._reload_task:
