--- a/quota_gateway/net/acceptor.py
+++ b/quota_gateway/net/acceptor.py
@@ -9,6 +9,7 @@
 from quota_gateway.net.transient_errors import FAILED_CONNECTION_ERRORS
 
 MAX_ACCEPTS_PER_TURN = 32  # connections accepted before the others have their turn
+MAX_RETRIES_AT_ONCE = 3  # of a call that failed for want of something: many pass at once
 FIRST_RETRY_S = 0.005  # after the system was short of descriptors or memory; twice as long each time
 MAX_RETRY_S = 0.08  # what waits meanwhile is owed an answer in its time
 
@@ -51,6 +52,7 @@
         self._loop = asyncio.get_running_loop()
         self._waiting_since_s: float | None = None  # since when the queue was not emptied
         self._retry_s = FIRST_RETRY_S
+        self._failures = 0  # of calls in a row, for want of something
         self._retry_timer: asyncio.TimerHandle | None = None
         self._closes_when_empty = False
 
@@ -151,14 +153,21 @@
             return False
         except OSError as error:
             self._owner.on_accept_error(error)
-            if error.errno in FAILED_CONNECTION_ERRORS:
-                return True
-            self._retry_later()
-            return False
+            return error.errno in FAILED_CONNECTION_ERRORS or self._may_try_again()
         self._retry_s = FIRST_RETRY_S
+        self._failures = 0
         self._owner.on_accepted(sock, now_s if self._waiting_since_s is None else self._waiting_since_s)
         return True
 
+    def _may_try_again(self) -> bool:
+        """Whether to try again at once after a shortage; else that is done a little later."""
+        self._failures += 1
+        if self._failures <= MAX_RETRIES_AT_ONCE:
+            return True
+        self._failures = 0
+        self._retry_later()
+        return False
+
     def _on_queue_empty(self) -> None:
         self._waiting_since_s = None
         if self._closes_when_empty:
--- a/tests/net/test_accept_faults.py
+++ b/tests/net/test_accept_faults.py
@@ -42,6 +42,7 @@
     [
         pytest.param((errno.ECONNABORTED,), 100, id="a connection that was reset"),
         pytest.param((errno.ENFILE, errno.ENOBUFS, errno.ENOMEM), 100, id="no memory for a moment"),
+        pytest.param((errno.ENOBUFS, errno.ENFILE) * 20, 100, id="no memory for longer"),
         pytest.param((), 2, id="less room than connections"),
     ],
 )
