Let a process that ends refuse handovers at once

A new version that was started while the old one was ending asked it for its state for a second before it served: the old one took the request and had nothing to hand over. It closes the rendezvous listener with the one for clients now. The test fails without this.

--- a/quota_gateway/net/handover.py
+++ b/quota_gateway/net/handover.py
@@ -59,6 +59,10 @@
         """Wait for a process that takes over."""
         self.sender.listen()
 
+    def refuse(self) -> None:
+        """Let no further process take over: one that starts now has nothing to wait for."""
+        self.sender.refuse()
+
     def busy(self) -> bool:
         """Whether something is still on its way to the other process."""
         return any(channel.queued_packets for channel in self.peers.channels())
--- a/quota_gateway/net/handover_sender.py
+++ b/quota_gateway/net/handover_sender.py
@@ -73,6 +73,7 @@
         self._serving_timeout: asyncio.TimerHandle | None = None
         self._next_pass: asyncio.TimerHandle | None = None
         self._listen_retry: asyncio.TimerHandle | None = None
+        self._is_refusing = False
         self._reported: DescriptorsInUse | None = None
 
     def _enter(self, state: SenderState) -> None:
@@ -83,6 +84,8 @@
 
     def listen(self) -> None:
         """Wait for a process that takes over. Whatever is at the path is replaced, dead or alive."""
+        if self._is_refusing:
+            return
         try:
             listener = rendezvous.listen(self.path) if self.path else None
         except OSError as error:
@@ -104,6 +107,11 @@
             self.listener.close()
             self.listener = None
 
+    def refuse(self) -> None:
+        """Take no further process from now on, also where the one that takes over dies."""
+        self._is_refusing = True
+        self.stop_listening()
+
     def _on_connect(self) -> None:
         assert self.listener
         try:
--- a/quota_gateway/server.py
+++ b/quota_gateway/server.py
@@ -276,6 +276,7 @@
     driver.post(model.ShutdownStarted(timeout_s * 1000.0))
     await asyncio.sleep(ACCEPT_PERIOD_S)
     clients.stop_listening()
+    handover.refuse()
     await _wait_while(lambda: clients.is_busy() or handover.busy(), until=end)
     clients.finish()
     await _wait_while(clients.is_busy, until=end + FLUSH_TIMEOUT_S)
--- a/scale/child_process.py
+++ b/scale/child_process.py
@@ -121,7 +121,11 @@
 
 
 class RoleProcess(ChildProcess):
-    """A child with a role of `scale.child`."""
+    """A child with a role; calls that overlap are made one after the other."""
+
+    def __init__(self, name: str, process: asyncio.subprocess.Process) -> None:
+        super().__init__(name, process)
+        self._call_lock = asyncio.Lock()
 
     async def call(
         self,
@@ -141,12 +145,9 @@
         Raises:
             ChildError: The method has failed, or took too long, or the child has ended.
         """
-        assert self._process.stdin
-        assert self._process.stdout
         try:
-            self._process.stdin.write(msgspec.json.encode(ChildCommand(name, arguments)) + b"\n")
-            await self._process.stdin.drain()
-            line = await asyncio.wait_for(self._process.stdout.readline(), timeout_s)
+            async with self._call_lock:
+                line = await self._exchange(ChildCommand(name, arguments), timeout_s)
         except (TimeoutError, OSError) as error:
             raise ChildError(f"{self.name}.{name}: no answer within {timeout_s:g} s: {error!r}") from error
         if not line:
@@ -156,6 +157,14 @@
             raise ChildError(f"{self.name}.{name}: {reply.error}")
         return msgspec.json.decode(reply.answer, type=reply_type)
 
+    async def _exchange(self, command: ChildCommand, timeout_s: float) -> bytes:
+        """Send a command; the line of its reply, empty where the child has ended."""
+        assert self._process.stdin
+        assert self._process.stdout
+        self._process.stdin.write(msgspec.json.encode(command) + b"\n")
+        await self._process.stdin.drain()
+        return await asyncio.wait_for(self._process.stdout.readline(), timeout_s)
+
     async def command(self, name: str, **arguments: object) -> None:
         """Call a method that returns nothing; raises as `call` does."""
         await self.call(name, NoneType, CALL_TIMEOUT_S, **arguments)
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -214,6 +214,17 @@
         else:
             await self._kill_new(old, new)
 
+    async def upgrade_early_term(self, after_s: float) -> None:
+        """SIGTERM comes to the old version before the new one is ready, in whatever they are doing."""
+        self._forget_detachments()  # they may be lost, as by a restart
+        old, new = self.current, await self.start()
+        await asyncio.sleep(after_s)
+        _, is_ready = await asyncio.gather(
+            self._end(old, DEADLINE_S + KILL_GRACE_S), self.wait_until_ready(new)
+        )
+        if not is_ready:
+            new.kill()
+
     async def upgrade_new_dies(self, after_s: float) -> None:
         """The new version is killed a while after its start; the old one has to serve on."""
         old, new = self.current, await self.start()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -13,7 +13,16 @@
 MOMENTARY_SERVER_TROUBLES = ("reset_idle", "reset_all")
 LINK_TROUBLES = ("cut", "blackhole", "delay", "break", "fragment")
 DISCOVERY_TROUBLES = ("silent", "refuse", "drop_watches")
-PROCESS_TROUBLES = ("restart", "crash", "upgrade", "upgrade_new_dies", "upgrade_old_dies", "reload", "pause")
+PROCESS_TROUBLES = (
+    "restart",
+    "crash",
+    "upgrade",
+    "upgrade_early_term",
+    "upgrade_new_dies",
+    "upgrade_old_dies",
+    "reload",
+    "pause",
+)
 SYSTEM_TROUBLES = ("tcp_calls", "unix_calls", "file_calls", "wall_step")
 ENDPOINT_TROUBLES = ("drain", "replace", "detach")
 KIND_WEIGHTS = {
--- a/soak/play.py
+++ b/soak/play.py
@@ -204,12 +204,11 @@
         )
 
     async def _play_detach(self, trouble: Trouble) -> None:
+        """Detach and attach cross whatever happens to the gateway's processes meanwhile."""
         gateway = self._gateways[trouble.gateway]
-        async with gateway.lock:
-            await gateway.detach(trouble.server)
+        await gateway.detach(trouble.server)
         await asyncio.sleep(2.0 * trouble.for_s)
-        async with gateway.lock:
-            await gateway.attach(trouble.server)
+        await gateway.attach(trouble.server)
 
     async def _play_restart(self, trouble: Trouble) -> None:
         gateway = self._gateways[trouble.gateway]
@@ -226,6 +225,11 @@
         async with gateway.lock:
             await gateway.upgrade()
 
+    async def _play_upgrade_early_term(self, trouble: Trouble) -> None:
+        gateway = self._gateways[trouble.gateway]
+        async with gateway.lock:
+            await gateway.upgrade_early_term(0.8 * trouble.amount)
+
     async def _play_upgrade_new_dies(self, trouble: Trouble) -> None:
         gateway = self._gateways[trouble.gateway]
         async with gateway.lock:
--- a/tests/net/test_handover_faults.py
+++ b/tests/net/test_handover_faults.py
@@ -1,12 +1,14 @@
 """A handover during which the system refuses descriptors."""
 
+import asyncio
 import errno
 import os
 
-from quota_gateway.net import client_connection, handover_sender
+from quota_gateway.net import client_connection, handover_sender, rendezvous
 from quota_gateway.net.handover import request_handover
 from quota_gateway.net.handover_sender import SenderState
-from tests.support.gateway_node import run_gateway, wait_until
+from quota_gateway.server import shut_down_gracefully
+from tests.support.gateway_node import SETTINGS, run_gateway, wait_until
 from tests.support.resp_encoding import encode_command
 
 
@@ -61,3 +63,20 @@
         old.handover.close()
         await wait_until(lambda: new.peers.previous is None)
         handover_state.listener.close()
+
+
+async def test_process_that_has_stopped_listening_is_not_asked_again(tmp_path):
+    async with run_gateway() as old:
+        old.handover.sender.path = tmp_path / "rendezvous"
+        old.handover.wait()
+        shutdown = asyncio.create_task(
+            shut_down_gracefully(SETTINGS, old.driver, old.client_listener, old.handover)
+        )
+        client = await old.connect_client()  # keeps the process from ending
+        client.send(b"*1\r\n")
+        await wait_until(lambda: old.client_listener.listening_socket is None)
+        assert old.handover.sender.listener is None
+        assert rendezvous.connect(old.handover.path) is None  # refused, which ends a request at once
+        assert await request_handover(old.handover.path) is None
+        client.close()
+        await shutdown
