--- a/quota_gateway/net/client_connection.py
+++ b/quota_gateway/net/client_connection.py
@@ -37,15 +37,9 @@
     WRITE_STALLED = "write_stalled"
 
 
-# Reasons that may come while an answer is owed: the client has gone or takes nothing, a value broke off, or
-# nothing more can be done before SIGKILL comes.
-CLOSES_WHILE_OWED = frozenset(
-    (
-        CloseReason.CLIENT_LEFT,
-        CloseReason.VALUE_TRUNCATED,
-        CloseReason.WRITE_STALLED,
-    )
-)
+# Reasons that may come while an answer is owed: the client has gone, or takes nothing. A value that breaks
+# off is answered by that, but what stands behind it is owed its own.
+CLOSES_WHILE_OWED = frozenset((CloseReason.CLIENT_LEFT, CloseReason.WRITE_STALLED))
 
 
 @dataclass(frozen=True, slots=True)
