Keep half a command overdue through upgrades, however often it is passed on

A command that was overdue but for its arriving body counted as not due at all when its connection was passed on, and its bytes as just received in the next process. The first is told as overdue now, and how long it was silent goes along in a key that earlier versions pass over. The test fails without this.

--- a/quota_gateway/net/client_connection.py
+++ b/quota_gateway/net/client_connection.py
@@ -50,6 +50,7 @@
     request_count: int = 0  # so far
     command_due_for_s: float = 0.0  # for how long a command has been due
     partial_command: bytes = b""  # what was read of a command that is not complete yet
+    silent_s: float = 0.0  # since its last byte came
     waiting_since_s: float = inf  # monotonic; what is read first can not have come before
 
 
@@ -98,9 +99,10 @@
         if self._has_disconnected():  # nothing is forwarded for a client that left while it waited for room
             self._disconnect()
             return
-        partial_command, self._resumed = self._resumed.partial_command, NEW_CONNECTION
-        if partial_command:
-            self.data_received(partial_command)
+        resumed, self._resumed = self._resumed, NEW_CONNECTION
+        if resumed.partial_command:
+            self.data_received(resumed.partial_command)
+            self.intake.last_received_s -= resumed.silent_s
         elif self.intake.has_sent_command:
             self._owner.idle_connections.update(self, within_command=False, took_command=True)
 
@@ -367,6 +369,7 @@
             request_count=self.intake.request_count,
             command_due_for_s=self._owner.idle_connections.command_due_for_s(self),
             partial_command=bytes(self.intake.reader.buffer),
+            silent_s=self._owner.loop.time() - self.intake.last_received_s,
             waiting_since_s=self.intake.waiting_since_s,
         )
         self.abort(CloseReason.PASSED_ON)
--- a/quota_gateway/net/handover_receiver.py
+++ b/quota_gateway/net/handover_receiver.py
@@ -195,6 +195,7 @@
             connection.request_count,
             connection.command_due_for_s,
             message.body,
+            connection.silent_s,
             time.monotonic() - connection.waited_s,
         )
         self.clients.serve(message.take_socket(), resumed)
--- a/quota_gateway/net/handover_sender.py
+++ b/quota_gateway/net/handover_sender.py
@@ -221,6 +221,7 @@
             resumed.request_count,
             resumed.command_due_for_s,
             max(0.0, time.monotonic() - resumed.waiting_since_s),
+            resumed.silent_s,
         )
         channel.send(ChannelMessage(connection.to_json(), resumed.partial_command, descriptor))
 
--- a/quota_gateway/net/idle_connections.py
+++ b/quota_gateway/net/idle_connections.py
@@ -127,6 +127,8 @@
 
     def command_due_for_s(self, connection: TrackedConnection) -> float:
         """For how long a command has been due on a connection; 0 where none is."""
+        if connection in self.awaiting_body:
+            return COMMAND_TIMEOUT_S  # it is overdue, but for a body that is still arriving
         now_s = self._loop.time()
         return now_s - self.awaiting_command.get(connection, now_s)
 
--- a/quota_gateway/net/peer_messages.py
+++ b/quota_gateway/net/peer_messages.py
@@ -66,6 +66,12 @@
         raise HandoverError(f"{kind.value}: {key}={value!r:.200} is malformed: {error!r}") from error
 
 
+def _seconds(kind: MessageKind, header: Json, key: str) -> float:
+    """A time in a field; one that is not finite counts as none."""
+    seconds = _field(kind, header, key, float)
+    return seconds if isfinite(seconds) else 0.0
+
+
 def _finite(value: Any) -> float:
     number = float(value)
     if not isfinite(number):
@@ -146,6 +152,7 @@
     request_count: int
     command_due_for_s: float  # for how long a command has been due
     waited_s: float = 0.0  # for how long nothing has been read on it
+    silent_s: float = 0.0  # since the last byte of its partial command came
 
     def to_json(self) -> Json:
         """The header of the message."""
@@ -155,20 +162,20 @@
             "asked": self.request_count,
             "owing_s": self.command_due_for_s,
         }
-        return {**header, "waited_s": self.waited_s} if self.waited_s else header
+        later = {"waited_s": self.waited_s, "silent_s": self.silent_s}
+        return {**header, **{key: seconds for key, seconds in later.items() if seconds}}
 
     @staticmethod
     def from_json(header: Json) -> PassedConnection:
         """Read the message; HandoverError if it is malformed. A time that is not finite counts as none."""
         kind = MessageKind.CONNECTION
-        command_due_for_s = _field(kind, header, "owing_s", float)
-        # a version before this one does not tell the second time
-        waited_s = _field(kind, header, "waited_s", float) if "waited_s" in header else 0.0
         return PassedConnection(
             has_sent_command=_field(kind, header, "spoke", bool),
             request_count=_field(kind, header, "asked", int),
-            command_due_for_s=command_due_for_s if isfinite(command_due_for_s) else 0.0,
-            waited_s=waited_s if isfinite(waited_s) else 0.0,
+            command_due_for_s=_seconds(kind, header, "owing_s"),
+            # versions before this one do not tell the others
+            waited_s=_seconds(kind, header, "waited_s") if "waited_s" in header else 0.0,
+            silent_s=_seconds(kind, header, "silent_s") if "silent_s" in header else 0.0,
         )
 
 
--- a/tests/net/test_handover_faults.py
+++ b/tests/net/test_handover_faults.py
@@ -3,13 +3,20 @@
 import asyncio
 import errno
 import os
+import socket
 
-from quota_gateway.net import client_connection, handover_sender, rendezvous
+from quota_gateway.net import (
+    client_connection,
+    command_intake,
+    handover_sender,
+    idle_connections,
+    rendezvous,
+)
 from quota_gateway.net.handover import request_handover
 from quota_gateway.net.handover_sender import SenderState
 from quota_gateway.server import shut_down_gracefully
 from tests.support.gateway_node import SETTINGS, run_gateway, wait_until
-from tests.support.resp_encoding import encode_command
+from tests.support.resp_encoding import encode_call, encode_command
 
 
 class FailingDup:
@@ -80,3 +87,22 @@
         assert await request_handover(old.handover.path) is None
         client.close()
         await shutdown
+
+
+async def test_half_a_body_is_overdue_in_its_time_however_often_its_connection_is_passed_on(monkeypatch):
+    monkeypatch.setattr(idle_connections, "COMMAND_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(command_intake, "BODY_GAP_TIMEOUT_S", 3600.0)  # it counts as arriving for long
+    async with run_gateway() as gateway:
+        client = await gateway.connect_client()
+        client.send(encode_call(1, "post", body=b"x" * 1000)[:-500])
+        listener = gateway.client_listener
+        await wait_until(lambda: listener.idle_connections.awaiting_body)  # overdue, but for its body
+        (connection,) = listener.connections
+        connection.intake.last_received_s -= 1000.0  # silent since then
+        descriptor, resumed = connection.release()
+        assert resumed.command_due_for_s >= 0.3
+        assert resumed.silent_s >= 1000.0
+        monkeypatch.setattr(command_intake, "BODY_GAP_TIMEOUT_S", 900.0)
+        await wait_until(lambda: not listener.connections)
+        listener.serve(socket.socket(fileno=descriptor), resumed)
+        assert await client.read_reply() == "-ERR timeout"
