--- a/quota_gateway/net/arrival.py
+++ b/quota_gateway/net/arrival.py
@@ -10,6 +10,8 @@
 import struct
 import time
 
+from quota_gateway.net.clock import MS_PER_S
+
 NEGLIGIBLE_S = 0.03  # a wait that is not corrected for: far below what a deadline may be off by
 BACKLOG_READ_S = 0.05  # after reading was resumed, what came before has been read
 MIN_POLL_DELAY_S = 0.001  # of a timer that falls due after the loop has looked for input once
@@ -18,7 +20,6 @@
 # eleven numbers of four bytes.
 TCP_INFO_BYTES = 56
 LAST_DATA_RECEIVED = struct.Struct("@52xI")
-MS_PER_S = 1000.0
 
 
 def seconds_since_data(sock: socket.socket) -> float | None:
--- a/quota_gateway/net/command_intake.py
+++ b/quota_gateway/net/command_intake.py
@@ -11,7 +11,8 @@
 from typing import Protocol
 
 from quota_gateway.errors import CommandError, ProtocolError
-from quota_gateway.net.arrival import BACKLOG_READ_S, MS_PER_S, NEGLIGIBLE_S, StallDetector, arrival_s
+from quota_gateway.net.arrival import BACKLOG_READ_S, NEGLIGIBLE_S, StallDetector, arrival_s
+from quota_gateway.net.clock import MS_PER_S
 from quota_gateway.net.commands import CALL_GET, CALL_POST, PING, RequestParser
 from quota_gateway.net.driver import ActiveRequest, Driver
 from quota_gateway.net.idle_connections import IdleConnections, TrackedConnection
--- a/quota_gateway/net/driver.py
+++ b/quota_gateway/net/driver.py
@@ -35,11 +35,12 @@
 from quota_gateway.net.attempt import Attempt, BodyConsumer, UpstreamReply, discard_piece
 from quota_gateway.net.clock import Clock
 from quota_gateway.net.peer_processes import UsageListener
-from quota_gateway.net.request_guard import NEVER_EXECUTED, RequestGuard
+from quota_gateway.net.request_guard import RequestGuard
 from quota_gateway.net.timer_queue import TimerQueue
 from quota_gateway.net.upstream_host import UpstreamHost
 from quota_gateway.net.upstream_pool import UpstreamPool
 from quota_gateway.policy.engine import PolicyEngine
+from quota_gateway.policy.retries import NEVER_EXECUTED
 from quota_gateway.telemetry import Invariant, Metric
 
 __all__ = ["CLIENT_MARGIN_MS", "ActiveRequest", "BodyWriter", "Clock", "Driver"]
--- a/quota_gateway/net/request_guard.py
+++ b/quota_gateway/net/request_guard.py
@@ -14,7 +14,6 @@
 from quota_gateway.net.upstream_host import UpstreamHost
 from quota_gateway.telemetry import Invariant, Metric, Telemetry
 
-NEVER_EXECUTED = frozenset((AttemptStatus.OVERLOADED, AttemptStatus.CONNECT_FAILED, AttemptStatus.NOT_SENT))
 MAX_DEADLINE_EXCESS_MS = 150.0  # by which a command may say more than its client has left
 # After this a command whose last bytes have not gone out is not sent: the time that it names was left when
 # it was encoded. The rest of what is allowed is for a process that is held up while it writes.
