--- a/tests/net/test_large_replies.py
+++ b/tests/net/test_large_replies.py
@@ -17,6 +17,12 @@
 VALUE_END = b"\r\n$6\r\nused=1\r\n$-1\r\n"
 
 
+def writer_for(server: FakeUpstream, ending: bytes) -> asyncio.StreamWriter:
+    """The connection on which the one command has come whose request id ends so."""
+    (number,) = [n for n, words in enumerate(server.commands) if words[2].endswith(ending)]
+    return server.writers[server.connection_numbers[number]]
+
+
 def read_in_pieces(answer: bytes, size: int) -> tuple[bytes, list]:
     """What a reader of answers makes of bytes that come in pieces: the large value, and all answers."""
     reader, value, answers = ReplyReader(), b"", []
@@ -225,8 +231,7 @@
         client = await gateway.connect_client()
         client.send(encode_call(1, "buy"), encode_call(2), encode_call(3))
         await server.wait_until(lambda: len(server.commands) == 3)
-        (first,) = [number for number, words in enumerate(server.commands) if words[2].endswith(b"1")]
-        broken = server.writers[server.connection_numbers[first]]
+        broken = writer_for(server, b"1")
         broken.write(VALUE_HEADER + LARGE_VALUE[:100_000])
         await wait_until(lambda: gateway.client_listener.budget.buffered_bytes > 60_000)
         broken.close()
@@ -275,8 +280,7 @@
         client = await gateway.connect_client()
         client.send(encode_call(1, timeout_ms=1500), encode_call(2))
         await server.wait_until(lambda: len(server.commands) == 2)
-        (first,) = [number for number, words in enumerate(server.commands) if words[2].endswith(b"1")]
-        server.writers[server.connection_numbers[first]].write(VALUE_HEADER + LARGE_VALUE[:100_000])
+        writer_for(server, b"1").write(VALUE_HEADER + LARGE_VALUE[:100_000])
         assert await client.read_reply() == "-ERR failed"
         assert await client.read_reply() == b"0000000000000002"
 
@@ -288,8 +292,7 @@
         client = await gateway.connect_client()
         client.send(encode_call(1), encode_call(2))
         await server.wait_until(lambda: len(server.commands) == 2)
-        (first,) = [number for number, words in enumerate(server.commands) if words[2].endswith(b"1")]
-        server.writers[server.connection_numbers[first]].write(VALUE_HEADER + LARGE_VALUE + VALUE_END)
+        writer_for(server, b"1").write(VALUE_HEADER + LARGE_VALUE + VALUE_END)
         assert await client.read_reply() == LARGE_VALUE
         assert await client.read_reply() == b"0000000000000002"
 
@@ -300,14 +303,7 @@
         client = await gateway.connect_client()
         client.send(encode_call(1), encode_call(2), encode_call(3))
         await server.wait_until(lambda: len(server.commands) == 3)
-        first, second = (
-            next(
-                server.writers[server.connection_numbers[number]]
-                for number, words in enumerate(server.commands)
-                if words[2].endswith(last)
-            )
-            for last in (b"1", b"2")
-        )
+        first, second = writer_for(server, b"1"), writer_for(server, b"2")
         second.write(VALUE_HEADER + LARGE_VALUE[:100_000])
         await wait_until(lambda: gateway.client_listener.budget.buffered_bytes > 60_000)
         second.close()
