Write each request and answer of the third case to its record

Cause: the record of the case had the store of the ceiling and sums, but not what was sent, answered and run.

Change: the clients note each request and its answer, and the servers' logs are added. The play and the check are as they were.

--- a/review/3/play.py
+++ b/review/3/play.py
@@ -66,16 +66,17 @@
         # A connection that the gateway has closed between requests is replaced by a new one, once.
         for _ in range(2):
             with suppress(OSError, asyncio.IncompleteReadError):
-                await self._ask_once(call)
+                await self._ask_once(request_id, call)
                 return
         self.unanswered += 1
 
-    async def _ask_once(self, call: bytes) -> None:
+    async def _ask_once(self, request_id: str, call: bytes) -> None:
         if self._idle:
             reader, writer = self._idle.pop()
         else:
             reader, writer = await asyncio.open_connection("127.0.0.1", self._gateway.port)
         writer.write(call)
+        self._case.note(f"client of {self._gateway.name}: sends {request_id} of {UNITS} units")
         buffer = bytearray()
         async with asyncio.timeout(DEADLINE_S + 1.0):
             while (answer := take_answer(buffer)) is None:
@@ -86,6 +87,7 @@
         self._idle.append((reader, writer))
         kind = "served" if answer[:1] == b"$" else "refused" if answer.startswith(b"-BUSY") else "failed"
         self.answers[kind] += 1
+        self._case.note(f"client of {self._gateway.name}: {request_id} is {kind}")
 
 
 async def upgrade(case: Case, gateway: Gateway, old: GatewayProcess) -> GatewayProcess:
@@ -152,6 +154,7 @@
     for item in clients:
         await item.finish()
         case.note(f"clients of a gateway: {item.answers}, {item.unanswered} without an answer")
+    case.note_servers()
     return judge(case, case.server_events())
 
 
