Keep a connection until its client has received the replies that were written

Cause: a reply counted as done once the kernel had its last byte. close_if_done closed the socket then; the client's next request met a closed socket, and the reset dropped what the kernel still had. Sent 4 s later, the second request did no harm, the process's end alone neither.

Change: ReplyDelivery asks the kernel (SIOCOUTQ) what the client has not acknowledged. While the gateway stops, such a connection stays open and serves. Every close but an eviction or abort lingers now: the sending side is shut down, nothing more is read, and the socket closes once the client has closed or nothing is left to deliver. The same on the related paths: the end of a shutdown, malformed and late input behind replies, a value that breaks off behind replies, eviction, connections taken over in an upgrade, clients that left and do not read. Bounds: 15 s, in a shutdown until 0.1 s before SIGKILL. The label command_overdue is gone, as such connections linger.

--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -25,7 +25,6 @@
 if TYPE_CHECKING:
     from quota_gateway.net.clients.protocols import ConnectionOwner
 
-LINGER_S = 0.3  # delay before a rejected connection closes; an earlier reset could overtake the error line
 WRITE_STALL_TIMEOUT_S = 15.0  # maximum time that a client may block writing by not reading its replies
 
 
@@ -36,7 +35,7 @@
         self.socket = sock
         self.buffers = BufferUsage(owner.budget)
         self.replies = ReplyWriter(self.buffers)
-        self.lifecycle = ConnectionLifecycle(owner.loop, owner.driver.telemetry, self.replies)
+        self.lifecycle = ConnectionLifecycle(owner.loop, owner.driver.telemetry, self.replies, sock)
         self.intake = CommandIntake(
             owner, resumed.has_sent_command, resumed.request_count, resumed.waiting_since_s
         )
@@ -78,6 +77,7 @@
             self.data_received(resumed.partial_command)
             self.intake.last_received_s -= resumed.silent_s
         elif self.intake.has_sent_command:
+            self.lifecycle.delivery.on_written()  # the previous process may have written replies just now
             self._owner.idle_connections.update(self, within_command=False, took_command=True)
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 - asyncio's signature
@@ -123,9 +123,10 @@
     def flush(self) -> None:
         """Write the replies that are due, then resume reading or close the connection if either is due."""
         transport = self.transport
-        if transport is None or transport.is_closing():
+        if transport is None or not self.lifecycle.is_connected():
             return
-        self.replies.write_due(transport, self.intake)
+        if self.replies.write_due(transport, self.intake):
+            self.lifecycle.delivery.on_written()
         if self.replies.is_streaming():
             self.intake.update_read_pause(self)
         self.intake.continue_after_reply(self)
@@ -172,8 +173,7 @@
         if self.transport is None:
             return
         if self.is_closing and not self.pending_replies:
-            self.abort(CloseReason.COMMAND_READ_TIMEOUT)  # the client does not read its error line
-            return
+            return  # the connection lingers, or is about to
         if not self.is_closing:
             self.intake.reject_input(self, "timeout")
         for reply in list(self.pending_replies):
@@ -184,23 +184,30 @@
     # ---- Closing by the gateway
 
     def close_if_done(self) -> None:
-        """Close the connection if it is to end and no reply is pending; received commands are taken first.
+        """End the connection if it is to end and no reply is pending; received commands are taken first.
 
         See docs/decisions/client-closing.md for the order and for how long a connection lingers.
         """
         if not self.lifecycle.is_connected() or self.pending_replies or self.intake.is_read_scheduled:
             return
         if self.lifecycle.state is ConnectionState.REJECTED:
-            self.lifecycle.abort_after(LINGER_S, CloseReason.INPUT_REJECTED)
+            self.linger(CloseReason.INPUT_REJECTED)
         elif self.is_closing or self._may_stop():
-            self.lifecycle.close(CloseReason.SHUTDOWN)
+            self.linger(CloseReason.SHUTDOWN)
+
+    def linger(self, reason: CloseReason) -> None:
+        """Take no more commands, and close once the client has received the replies that were written."""
+        self.lifecycle.linger(reason)
+        self.intake.update_read_pause(self)
+        self._owner.idle_connections.update(self, within_command=False, took_command=False)
 
     def _may_stop(self) -> bool:
-        """Whether the gateway is stopping and no command is left that this connection could still read."""
+        """Whether the gateway is stopping and the client has its replies and has sent no further command."""
         owner = self._owner
         return (
             owner.is_stopping
             and not owner.is_suspended
+            and not self.lifecycle.is_delivery_pending()
             and (self.intake.is_read_paused or not has_unread_bytes(self.socket))
         )
 
@@ -215,11 +222,14 @@
         self.lifecycle.abort(reason)
 
     def evict(self) -> bool:
-        """Close the connection unless a reply is pending or a command is unread; return whether it closed."""
+        """Close the connection unless a reply is pending or a command is unread; return whether it closed.
+
+        A reply is pending until the client has received it, or for ``DELIVERY_TIMEOUT_S``.
+        """
         transport = self.transport
         if transport is None or transport.is_closing():
             return False
-        if self.pending_replies or transport.get_write_buffer_size():
+        if self.pending_replies or self.lifecycle.is_delivery_pending():
             return False
         if not self.is_closing and has_unread_bytes(self.socket):
             return False
--- a/quota_gateway/net/clients/connection_state.py
+++ b/quota_gateway/net/clients/connection_state.py
@@ -11,8 +11,10 @@
     CONNECTING = auto()  # the connection is accepted, but not yet served by the event loop
     OPEN = auto()  # commands are taken
     FINISHING = auto()  # no more commands are taken; the connection closes once all replies are written
-    # No more commands are taken after malformed or missing input; the connection lingers before it closes.
+    # No more commands are taken after malformed or missing input.
     REJECTED = auto()
+    # No more is written or read; the connection closes once the client has received its replies.
+    LINGERING = auto()
     CLOSING = auto()  # the gateway has closed the connection; written replies may still be sent
     CLOSED = auto()  # the event loop has closed the socket
 
@@ -22,23 +24,32 @@
     ConnectionState.OPEN: (
         ConnectionState.FINISHING,
         ConnectionState.REJECTED,
+        ConnectionState.LINGERING,
         ConnectionState.CLOSING,
         ConnectionState.CLOSED,
     ),
-    ConnectionState.FINISHING: (ConnectionState.CLOSING, ConnectionState.CLOSED),
-    ConnectionState.REJECTED: (ConnectionState.CLOSING, ConnectionState.CLOSED),
+    ConnectionState.FINISHING: (
+        ConnectionState.LINGERING,
+        ConnectionState.CLOSING,
+        ConnectionState.CLOSED,
+    ),
+    ConnectionState.REJECTED: (
+        ConnectionState.LINGERING,
+        ConnectionState.CLOSING,
+        ConnectionState.CLOSED,
+    ),
+    ConnectionState.LINGERING: (ConnectionState.CLOSING, ConnectionState.CLOSED),
     ConnectionState.CLOSING: (ConnectionState.CLOSED,),
     ConnectionState.CLOSED: (),
 }
 """The states that may follow each state. A change to any other state is ignored: a rejected connection that
-is also told to finish still lingers."""
+is also told to finish stays rejected."""
 
 
 class CloseReason(Enum):
     """Why the gateway closed a client connection; the values are the labels of the metric."""
 
     CLIENT_LEFT = "client_left"
-    COMMAND_READ_TIMEOUT = "command_overdue"
     EVICTED_FOR_CAPACITY = "made_room"
     HANDED_OVER = "passed_on"
     INPUT_REJECTED = "input_rejected"
--- a/quota_gateway/net/clients/connection_sweeper.py
+++ b/quota_gateway/net/clients/connection_sweeper.py
@@ -14,6 +14,8 @@
 class ConnectionSweeper:
     """Enforces command read timeouts, and detects clients that left while their connection is not read.
 
+    During a shutdown it also ends the connections whose clients have received their replies meanwhile.
+
     Args:
         listener: The listener whose connections are swept.
         admission: Accepts again, or evicts, after each sweep.
@@ -38,4 +40,7 @@
         unread = [item for item in self._listener.connections if item.is_unread_with_pending_replies()]
         for connection in unread:
             connection.close_if_disconnected()
+        if self._listener.is_stopping:
+            for connection in list(self._listener.connections):
+                connection.close_if_done()
         self._admission.accept_or_evict()
--- a/quota_gateway/net/clients/pending_reply.py
+++ b/quota_gateway/net/clients/pending_reply.py
@@ -119,6 +119,6 @@
         if is_complete:
             self.take(b"\r\n")
         elif self.has_started_writing:
-            self.connection.lifecycle.close(CloseReason.VALUE_TRUNCATED)
+            self.connection.linger(CloseReason.VALUE_TRUNCATED)
         else:
             self.set_reply(FAILED_REPLY)
--- a/quota_gateway/net/clients/protocols.py
+++ b/quota_gateway/net/clients/protocols.py
@@ -88,13 +88,6 @@
         """Whether all replies before this one have been written."""
 
 
-class ReplyLifecycle(Protocol):
-    """Closes a connection."""
-
-    def close(self, reason: CloseReason) -> None:
-        """Close the connection; replies that are written already are still sent."""
-
-
 class ReplyConnection(Protocol):
     """What a pending reply needs from its connection."""
 
@@ -106,13 +99,12 @@
     def replies(self) -> ReplyOrder:
         """The replies of the connection."""
 
-    @property
-    def lifecycle(self) -> ReplyLifecycle:
-        """The lifecycle of the connection, which closes it."""
-
     def flush(self) -> None:
         """Write the replies that are due."""
 
+    def linger(self, reason: CloseReason) -> None:
+        """Write no more, and close once the client has received the replies that were written."""
+
 
 class CommandBuffer(Protocol):
     """What the reply writer needs from the command intake of its connection."""
@@ -151,11 +143,11 @@
         """Whether a large value is partly written and not yet complete."""
 
 
-class IntakeLifecycle(ReplyLifecycle, Protocol):
+class IntakeLifecycle(Protocol):
     """What the command intake needs from the lifecycle of its connection."""
 
     def reject(self) -> None:
-        """Take no more commands; the connection lingers before it closes."""
+        """Take no more commands after malformed or missing input."""
 
 
 class CommandConnection(ReplyConnection, TrackedConnection, Protocol):
@@ -202,6 +194,7 @@
     """What the sweeper needs from the listener."""
 
     idle_connections: IdleConnections
+    is_stopping: bool
     stall_detector: StallDetector
 
     @property
--- a/quota_gateway/net/clients/reply_writer.py
+++ b/quota_gateway/net/clients/reply_writer.py
@@ -65,23 +65,31 @@
         """Whether a large value is partly written and not yet complete."""
         return bool(self.pending) and self.pending[0].is_streaming()
 
-    def write_due(self, transport: asyncio.Transport, commands: CommandBuffer) -> None:
-        """Write replies in the order of their commands, up to the first that is not known yet."""
+    def write_due(self, transport: asyncio.Transport, commands: CommandBuffer) -> bool:
+        """Write replies in the order of their commands, up to the first that is not known yet.
+
+        Returns:
+            Whether anything was written.
+        """
+        has_written = False
         while self.pending and not self.is_blocked:
             reply = self.pending[0]
             if reply.reply is None:
-                return
+                break
             if reply.pieces is None:
                 self.pending.popleft()
                 self._buffers.count(-reply.buffered_bytes)
                 transport.write(reply.reply)
+                has_written = True
                 continue
             if self._must_gather(reply, commands):
-                return
+                break
+            has_written |= bool(reply.pieces)
             self._write_pieces(transport, reply, reply.pieces)
             if reply.pieces or reply.attempt:
-                return
+                break
             self.pending.popleft()
+        return has_written
 
     def _must_gather(self, reply: PendingReply, commands: CommandBuffer) -> bool:
         """Whether a large value is held back until it is complete.
--- a/tests/net/clients/test_client_listener.py
+++ b/tests/net/clients/test_client_listener.py
@@ -14,6 +14,7 @@
 from quota_gateway.model.timers import WaitOver
 from quota_gateway.net.clients import command_intake, idle_connections
 from quota_gateway.net.clients.command_intake import MAX_PIPELINED_COMMANDS
+from quota_gateway.net.clients.socket_state import unacknowledged_bytes
 from quota_gateway.net.request_answers import RequestAnswers
 from quota_gateway.net.upstream.pool import UpstreamConnection
 from tests.support.fake_upstream import FakeUpstream
@@ -393,6 +394,7 @@
         )  # the event loop has had no chance to read the command
         assert not connection.evict()
         assert await client.read_reply() == b"0000000000000001"
+        await wait_until(lambda: not unacknowledged_bytes(connection.socket))
         assert connection.evict()
         assert await client.read_reply() is None
 
--- a/tests/process/test_process.py
+++ b/tests/process/test_process.py
@@ -25,6 +25,8 @@
 from tests.support.resp_encoding import encode_call, encode_command, encode_reply
 
 POLL_INTERVAL_S = 0.01
+READ_DELAY_S = 0.3  # time for which a slow client does not read
+LONG_VALUE = bytes(range(256)) * 6_000  # more than the client's kernel takes, less than both kernels do
 
 
 async def until_ready(client: FakeClient) -> None:
@@ -79,6 +81,29 @@
         assert await process.wait() == 0
 
 
+# Guards against a process that ends while a client still reads: its next request met a closed socket, and the
+# reset dropped the rest of a reply that the gateway had written.
+async def test_sigterm_serves_a_client_that_still_reads_a_written_reply(tmp_path):
+    async with (
+        FakeUpstream(lambda words: encode_reply(LONG_VALUE if words[2].endswith(b"1") else b"v")) as server,
+        run_gateway_process(tmp_path, server) as (process, port, _),
+    ):
+        client = await connect(port)
+        client.reader._limit = 1  # The stream pauses its transport at once.
+        client.send(encode_call(1, timeout_ms=60_000))
+        await server.wait_until(lambda: server.commands)
+        await asyncio.sleep(READ_DELAY_S)  # The kernel has all of the value by now.
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(graceful_shutdown.ACCEPT_PERIOD_S + READ_DELAY_S)
+        client.send(encode_call(2, timeout_ms=60_000))
+        await asyncio.sleep(READ_DELAY_S)
+        assert await client.read_reply() == LONG_VALUE
+        assert await client.read_reply() == b"v"
+        assert await client.read_reply() is None
+        client.close()
+        assert await process.wait() == 0
+
+
 async def test_shutdown_accepts_for_a_period_and_then_closes_between_requests(monkeypatch):
     monkeypatch.setattr(graceful_shutdown, "ACCEPT_PERIOD_S", 2.0)
 
