Keep a client that reads steadily but slowly, and end only those that do not read

The transport resumes writing once a third of the kernel's buffer is free (4 MiB at most, so 1.3 MB). A client at 80 KB/s needs longer for that than WRITE_STALL_TIMEOUT_S, and was reset in the middle of a reply. Waiting for delivery had a fixed time as well.

Change: both ask the kernel how much the client has taken, and go on while it is 64 KiB in 15 s or more. Bound: a client that takes less is closed after 15 s, as before.

--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from quota_gateway.net.clients.protocols import ConnectionOwner
 
-WRITE_STALL_TIMEOUT_S = 15.0  # maximum time that a client may block writing by not reading its replies
+WRITE_STALL_TIMEOUT_S = 15.0  # maximum time that a client may block writing and not read its replies
 
 
 class ClientConnection(asyncio.Protocol):
@@ -100,11 +100,11 @@
             self.intake.receive(self, data)
 
     def pause_writing(self) -> None:
-        """Pause reading while the client does not read its replies, and abort if this takes too long."""
+        """Pause reading while replies can't be written, and abort if the client does not read."""
         transport = self.transport
         self.replies.block(transport.get_write_buffer_size() if transport else 0)
         self.intake.update_read_pause(self)
-        self.lifecycle.abort_after(WRITE_STALL_TIMEOUT_S, CloseReason.WRITE_STALLED)
+        self.lifecycle.abort_if_stalled(WRITE_STALL_TIMEOUT_S, CloseReason.WRITE_STALLED)
 
     def resume_writing(self) -> None:
         """Resume writing after the client has read its replies."""
--- a/quota_gateway/net/clients/connection_lifecycle.py
+++ b/quota_gateway/net/clients/connection_lifecycle.py
@@ -7,7 +7,7 @@
 import socket
 
 from quota_gateway.net.clients.connection_state import TRANSITIONS, CloseReason, ConnectionState
-from quota_gateway.net.clients.reply_delivery import DELIVERY_TIMEOUT_S, ReplyDelivery
+from quota_gateway.net.clients.reply_delivery import DELIVERY_TIMEOUT_S, MIN_READ_BYTES, ReplyDelivery
 from quota_gateway.net.clients.reply_writer import ReplyWriter
 from quota_gateway.net.clients.socket_state import has_hung_up
 from quota_gateway.telemetry import Invariant, Metric, Telemetry
@@ -150,19 +150,36 @@
             return
         transport.close()
         if transport.get_write_buffer_size():
-            self.abort_after(DELIVERY_TIMEOUT_S, reason)  # the transport itself waits without a limit
+            self.abort_if_stalled(DELIVERY_TIMEOUT_S, reason)  # the transport itself waits without a limit
 
     def abort(self, reason: CloseReason) -> None:
         """Close at once; replies that are not sent yet are lost."""
         self.close(reason, at_once=True)
 
-    def abort_after(self, delay_s: float, reason: CloseReason) -> None:
-        """Abort after a delay, unless an abort is scheduled already."""
-        if self._abort_timer is None:
-            self._abort_timer = self._loop.call_later(delay_s, self.abort, reason)
+    def abort_if_stalled(self, timeout_s: float, reason: CloseReason) -> None:
+        """Abort as soon as the client has received fewer than ``MIN_READ_BYTES`` within the timeout.
+
+        The kernel reports room for further bytes only once a third of its buffer is free, so that a client
+        may read for long before the transport resumes writing.
+        """
+        if self._abort_timer is None and self.transport:
+            unacknowledged = self.delivery.unacknowledged_bytes(self.transport)
+            self._abort_timer = self._loop.call_later(
+                timeout_s, self._check_stall, timeout_s, reason, unacknowledged
+            )
+
+    def _check_stall(self, timeout_s: float, reason: CloseReason, unacknowledged_before: int) -> None:
+        self._abort_timer = None
+        if self.transport is None:
+            return
+        unacknowledged = self.delivery.unacknowledged_bytes(self.transport)
+        if unacknowledged_before - unacknowledged >= MIN_READ_BYTES:
+            self.abort_if_stalled(timeout_s, reason)
+        else:
+            self.abort(reason)
 
     def cancel_abort(self) -> None:
-        """Cancel the scheduled abort, if there is one."""
+        """Stop watching for a client that does not read."""
         if self._abort_timer:
             self._abort_timer.cancel()
             self._abort_timer = None
--- a/tests/net/clients/test_reply_delivery.py
+++ b/tests/net/clients/test_reply_delivery.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from quota_gateway.net.clients import connection as client_connection
 from quota_gateway.net.clients import connection_lifecycle, idle_connections, reply_delivery
 from quota_gateway.net.clients.connection import ClientConnection
 from quota_gateway.net.clients.socket_state import unacknowledged_bytes
@@ -193,6 +194,39 @@
         await wait_until(lambda: not gateway.client_listener.connections)
 
 
+# Guards against a client that reads steadily and is taken for one that does not, as the kernel reports room
+# for more only once a third of its buffer is free.
+async def test_client_that_reads_steadily_is_not_taken_for_stalled(monkeypatch):
+    monkeypatch.setattr(client_connection, "WRITE_STALL_TIMEOUT_S", 0.3)
+    value = 12 * LONG_VALUE
+    async with run_gateway(FakeUpstream(lambda _: encode_reply(value))) as gateway:
+        client = await gateway.connect_client()
+        client.reader._limit = 1  # The stream pauses its transport at once.
+        client.send(encode_call(1))
+        await wait_until(lambda: gateway.client_listener.connections)
+        (connection,) = gateway.client_listener.connections
+        await wait_until(lambda: connection.is_write_blocked)
+        received = b""
+        for _ in range(20):
+            received += await client.reader.readexactly(2 * reply_delivery.MIN_READ_BYTES)
+            await asyncio.sleep(0.08)
+        rest = len(value) + len(b"$%d\r\n\r\n" % len(value)) - len(received)
+        received += await client.reader.readexactly(rest)
+        assert received == b"$%d\r\n" % len(value) + value + b"\r\n"
+
+
+# Guards against a client that blocks writing, does not read, and keeps the connection and its buffers.
+async def test_client_that_blocks_writing_and_does_not_read_is_closed(monkeypatch):
+    monkeypatch.setattr(client_connection, "WRITE_STALL_TIMEOUT_S", 0.3)
+    async with run_gateway(FakeUpstream(lambda _: encode_reply(8 * LONG_VALUE))) as gateway:
+        client, connection = await connect_slow_reader(gateway)
+        client.send(encode_call(1))
+        await wait_until(lambda: connection.is_write_blocked)
+        await wait_until(lambda: not gateway.client_listener.connections)
+        assert gateway.client_listener.budget.buffered_bytes == 0
+        client.close()
+
+
 async def test_idle_connection_closes_at_once_when_the_gateway_stops():
     async with run_gateway(FakeUpstream(lambda _: CLOSE_CONNECTION)) as gateway:
         client = await gateway.connect_client()
