Make two tests independent of a busy machine and of garbage of earlier tests

Both failed once in runs with seven workers. The assertion is unchanged. - test_kernel_reports_when_data_arrived (0.04 <= 0.004): the age of new data was compared with the age of the old data, 4 ms; a machine that takes 40 ms for the check fails it. Now the old data is over 0.3 s old, and the age of the new data has to be within the time since it was sent: as strict, without the assumption that the check is quick.

--- a/tests/net/clients/test_arrival.py
+++ b/tests/net/clients/test_arrival.py
@@ -67,11 +67,13 @@
         (connection,) = gateway.client_listener.connections
         first_s = seconds_since_data(connection.socket)
         assert first_s < TICK_S * 100
-        await wait_until(lambda: seconds_since_data(connection.socket) > first_s)
-        before_s = seconds_since_data(connection.socket)
+        # Longer than a busy machine may take between the arrival of the data and the last check.
+        await wait_until(lambda: seconds_since_data(connection.socket) > first_s + 3 * TICK_S)
+        sent_s = time.monotonic()
         client.send(encode_call(2))
         await wait_until(lambda: len(gateway.driver.active_requests) == 2)
-        assert seconds_since_data(connection.socket) <= before_s
+        age_s = seconds_since_data(connection.socket)
+        assert age_s <= time.monotonic() - sent_s + TICK_S
 
 
 async def test_stall_is_detected_while_it_lasts_and_until_the_loop_has_polled_for_input(clock):
--- a/tests/net/test_descriptors.py
+++ b/tests/net/test_descriptors.py
@@ -97,6 +97,7 @@
         pool = make_pool(listener, max_connections=limit)
         await open_first_connection(pool)
         await wait_until(lambda: pool.descriptors_in_use == 0)
+        gc.collect()  # Descriptors that earlier tests left as garbage must not be closed between two counts.
         open_before = count_descriptors()
         descriptors = DescriptorPeak(base=open_before)
         statuses = []
