Hold back a value with requests behind it in every case, so that these are answered

Cause: a value with requests behind it was held back until complete, with two exceptions. Where its deadline passed before its turn, on_deadline let it be written in part and no timer was left to fail it; where the read-ahead budget was used up, it was written in part as well. From the first byte on nothing can be answered behind it.

Change: no exception is left. A held back value fails, before any byte of it: at its deadline, at its turn if it is incomplete 0.4 s after its deadline, at once if it is longer than nine tenths of the buffer budget, and at the end of a shutdown, where the replies behind it were dropped too. Values that are not being written are read only with a reservation of memory for all of them, those whose turn it is first: buffered in part they would wait for each other. An attempt that was paused and ends at its deadline is no failure of its server any more. no_close_while_owed counts replies that are known and not written behind a truncated value, which it did not; a metric tells why values failed.

Tests: tests/net/clients/test_large_replies.py.

--- a/quota_gateway/net/active_request.py
+++ b/quota_gateway/net/active_request.py
@@ -20,6 +20,9 @@
     def on_deadline(self) -> bool:
         """Handle the end of the client's timeout; return whether the value fails now."""
 
+    def on_grace_over(self) -> bool:
+        """Handle the end of the grace period after the timeout; return whether the value fails now."""
+
     def end(self, is_complete: bool) -> None:
         """End the value, which is either complete or cut short."""
 
--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -13,7 +13,7 @@
 from quota_gateway.net.clients.command_intake import CommandIntake
 from quota_gateway.net.clients.connection_lifecycle import ConnectionLifecycle
 from quota_gateway.net.clients.connection_state import CloseReason, ConnectionState
-from quota_gateway.net.clients.pending_reply import PendingReply
+from quota_gateway.net.clients.pending_reply import HeldBackFailure, PendingReply
 from quota_gateway.net.clients.reply_writer import ReplyWriter
 from quota_gateway.net.clients.resumed_connection import (
     NEW_CONNECTION,
@@ -21,6 +21,7 @@
     ResumedConnection,
 )
 from quota_gateway.net.clients.socket_state import has_hung_up, has_unread_bytes
+from quota_gateway.telemetry import Metric
 
 if TYPE_CHECKING:
     from quota_gateway.net.clients.protocols import ConnectionOwner
@@ -39,6 +40,7 @@
         self.intake = CommandIntake(
             owner, resumed.has_sent_command, resumed.request_count, resumed.waiting_since_s
         )
+        self.reservations = owner.reservations
         self._owner = owner
         self._resumed = resumed
 
@@ -127,10 +129,25 @@
             return
         if self.replies.write_due(transport, self.intake):
             self.lifecycle.delivery.on_written()
+        held_back = self.replies.held_back_value(self.intake)
+        if held_back and (failure := held_back.held_back_failure()):
+            self._fail_value(held_back, failure)  # flushes once more
+            return
         if self.replies.is_streaming():
             self.intake.update_read_pause(self)
         self.intake.continue_after_reply(self)
 
+    def _fail_value(self, value: PendingReply, reason: HeldBackFailure) -> None:
+        """Answer a large value of which nothing is written with an error: the replies behind it are due."""
+        driver = self._owner.driver
+        if value.attempt is None:
+            return
+        driver.telemetry.metrics.count(Metric.HELD_BACK_VALUES_FAILED, reason.value)
+        if reason is HeldBackFailure.OVERDUE:
+            driver.time_out_attempt(value.attempt)
+        else:
+            driver.cancel_attempt(value.attempt)
+
     # ---- Disconnects and timeouts
 
     def wants_reply(self) -> bool:
@@ -212,9 +229,15 @@
         )
 
     def finish(self) -> None:
-        """Take no more commands, and close as soon as all replies are written."""
+        """Take no more commands, and close as soon as all replies are written.
+
+        Large values of which nothing is written yet fail: the replies behind them are due now.
+        """
         self.lifecycle.finish()
         self.intake.update_read_pause(self)
+        for reply in list(self.pending_replies):
+            if reply.is_unwritten_value():
+                self._fail_value(reply, HeldBackFailure.SHUTDOWN)
         self.close_if_done()
 
     def abort(self, reason: CloseReason = CloseReason.PROCESS_ENDS) -> None:
--- a/quota_gateway/net/clients/connection_lifecycle.py
+++ b/quota_gateway/net/clients/connection_lifecycle.py
@@ -195,6 +195,7 @@
 
     def _check_answers(self, reason: CloseReason) -> None:
         is_missing = self._replies.has_unanswered() and reason not in REASONS_ALLOWED_BEFORE_ANSWER
+        is_missing |= reason is CloseReason.VALUE_TRUNCATED and self._replies.has_requests_behind_first()
         request_ids = ",".join(reply.request_id for reply in self._replies.pending)
         check = self._telemetry.invariants.check
         check(Invariant.NO_CLOSE_WHILE_OWED, not is_missing, request_ids, reason.value)
--- a/quota_gateway/net/clients/connection_sweeper.py
+++ b/quota_gateway/net/clients/connection_sweeper.py
@@ -14,7 +14,8 @@
 class ConnectionSweeper:
     """Enforces command read timeouts, and detects clients that left while their connection is not read.
 
-    During a shutdown it also ends the connections whose clients have received their replies meanwhile.
+    It also resumes reading large values for which there is memory again, and during a shutdown ends the
+    connections whose clients have received their replies meanwhile.
 
     Args:
         listener: The listener whose connections are swept.
@@ -37,6 +38,7 @@
         self._timer = self._loop.call_later(self._interval_s, self._sweep)
         self._listener.stall_detector.tick()
         self._listener.idle_connections.time_out_late_commands()
+        self._listener.reservations.grant()
         unread = [item for item in self._listener.connections if item.is_unread_with_pending_replies()]
         for connection in unread:
             connection.close_if_disconnected()
--- a/quota_gateway/net/clients/listener.py
+++ b/quota_gateway/net/clients/listener.py
@@ -16,6 +16,7 @@
 from quota_gateway.net.clients.connection_sweeper import ConnectionSweeper
 from quota_gateway.net.clients.idle_connections import IdleConnections
 from quota_gateway.net.clients.resumed_connection import ResumedConnection
+from quota_gateway.net.clients.value_reservations import ValueReservations
 
 if TYPE_CHECKING:
     from quota_gateway.net.clients.protocols import RequestHandler
@@ -47,6 +48,7 @@
         self.driver = driver
         self.request_parser = RequestParser(settings)
         self.budget = BufferBudget(max_buffered_bytes)
+        self.reservations = ValueReservations(self.budget)
         self.connections: dict[ClientConnection, None] = {}
         self.idle_connections = IdleConnections()
         self.is_ready = False
--- a/quota_gateway/net/clients/pending_reply.py
+++ b/quota_gateway/net/clients/pending_reply.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from quota_gateway.net.client_replies import FAILED_REPLY, encode_value_header
@@ -13,6 +14,14 @@
     from quota_gateway.net.clients.protocols import ReplyConnection
 
 
+class HeldBackFailure(Enum):
+    """Why a large value failed before any of it was written; the values are the labels of the metric."""
+
+    OVERDUE = "overdue"
+    TOO_LARGE = "too_large"
+    SHUTDOWN = "shutdown"
+
+
 class PendingReply:
     """The reply to one command, from the command's arrival until it is written.
 
@@ -24,8 +33,9 @@
         buffered_bytes: The number of buffered bytes, first of the command and later of the reply.
         attempt: The attempt that delivers a large value, until the value ends; else None.
         pieces: The received pieces of a large value that are not written yet; None for a short reply.
+        length_bytes: The length of a large value; 0 for a short reply.
         has_started_writing: Whether a part of a large value has been written.
-        may_gather: Whether a large value may be held back until it is complete.
+        is_overdue: Whether a large value was not complete a grace period after the client's timeout.
     """
 
     __slots__ = (
@@ -33,7 +43,8 @@
         "buffered_bytes",
         "connection",
         "has_started_writing",
-        "may_gather",
+        "is_overdue",
+        "length_bytes",
         "pieces",
         "reply",
         "request_id",
@@ -52,8 +63,9 @@
         self.buffered_bytes = buffered_bytes
         self.attempt: Attempt | None = None
         self.pieces: deque[bytes] | None = None
+        self.length_bytes = 0
         self.has_started_writing = False
-        self.may_gather = True
+        self.is_overdue = False
 
     def set_reply(self, reply: bytes) -> None:
         """Set the one reply to the command; it may replace a large value of which nothing is written."""
@@ -74,38 +86,82 @@
             This pending reply, which takes the pieces.
         """
         self.attempt = attempt
+        self.length_bytes = length_bytes
         self.pieces = deque()
         self.reply = b""
         self.connection.buffers.count(-self.buffered_bytes)
         self.buffered_bytes = 0
-        self.take(encode_value_header(length_bytes))
+        self._buffer(encode_value_header(length_bytes))
         return self
 
     def take(self, piece: bytes) -> None:
-        """Buffer the next bytes of a large value, and pause its attempt if too much is buffered."""
+        """Take the next bytes of a large value, and pause its attempt if too much is buffered."""
+        self._buffer(piece)
+        self.connection.flush()
+        self.update_reading()
+
+    def _buffer(self, piece: bytes) -> None:
         assert self.pieces is not None
         self.pieces.append(piece)
         self.connection.buffers.count(len(piece))
         self.buffered_bytes += len(piece)
-        if self.exceeds_read_ahead() and self.attempt:
-            self.attempt.pause(True)
-        self.connection.flush()
 
-    def exceeds_read_ahead(self) -> bool:
-        """Whether more of a large value is buffered than may be read ahead of the client."""
-        return self.buffered_bytes > self.connection.buffers.budget.read_ahead_bytes()
+    @property
+    def missing_bytes(self) -> int:
+        """The number of bytes of an unwritten large value that have not arrived yet."""
+        return max(0, self.length_bytes - self.buffered_bytes)
+
+    def is_due(self) -> bool:
+        """Whether all replies before this one have been written."""
+        return self.connection.replies.is_first(self)
+
+    def update_reading(self) -> None:
+        """Pause or resume reading a large value, depending on whether more of it may be buffered."""
+        if self.attempt:
+            self.attempt.pause(not self._may_read_on())
+
+    def _may_read_on(self) -> bool:
+        if self.has_started_writing:
+            return self.buffered_bytes <= self.connection.buffers.budget.read_ahead_bytes()
+        return self.connection.reservations.reserve(self)
+
+    def on_writing_started(self) -> None:
+        """Record that a part of a large value is written: from now on it is read ahead of its client."""
+        if not self.has_started_writing:
+            self.has_started_writing = True
+            self.connection.reservations.release(self)
 
     def is_streaming(self) -> bool:
         """Whether a large value is partly written and not yet complete."""
         return self.has_started_writing and self.attempt is not None
 
+    def is_unwritten_value(self) -> bool:
+        """Whether this is a large value that is not complete, and nothing of it is written."""
+        return self.attempt is not None and not self.has_started_writing
+
     def on_deadline(self) -> bool:
         """Handle the end of the client's timeout; return whether the value fails now.
 
         The value fails if nothing of it is written although all replies before it are written.
         """
-        self.may_gather = False
-        return not self.has_started_writing and self.connection.replies.is_first(self)
+        return not self.has_started_writing and self.is_due()
+
+    def on_grace_over(self) -> bool:
+        """Handle the end of the grace period after the timeout; return whether the value fails now.
+
+        A value that still waits for the replies before it fails at its turn, unless it is complete by then or
+        no request waits behind it.
+        """
+        self.is_overdue = True
+        return self.on_deadline()
+
+    def held_back_failure(self) -> HeldBackFailure | None:
+        """Return why a value that is held back fails now; None if it is still waited for."""
+        if self.is_overdue:
+            return HeldBackFailure.OVERDUE
+        if self.length_bytes > self.connection.reservations.max_value_bytes:
+            return HeldBackFailure.TOO_LARGE
+        return None
 
     def end(self, is_complete: bool) -> None:
         """End a large value.
@@ -116,6 +172,7 @@
             is_complete: Whether the server's whole reply has arrived and is well-formed.
         """
         self.attempt = None
+        self.connection.reservations.release(self)
         if is_complete:
             self.take(b"\r\n")
         elif self.has_started_writing:
--- a/quota_gateway/net/clients/protocols.py
+++ b/quota_gateway/net/clients/protocols.py
@@ -21,6 +21,7 @@
 from quota_gateway.net.clients.connection_state import CloseReason
 from quota_gateway.net.clients.idle_connections import IdleConnections
 from quota_gateway.net.clients.pending_reply import PendingReply
+from quota_gateway.net.clients.value_reservations import ValueReservations
 from quota_gateway.net.upstream.attempt import Attempt
 from quota_gateway.telemetry import Telemetry
 
@@ -42,7 +43,10 @@
         """Drop a request whose client has closed its connection."""
 
     def cancel_attempt(self, attempt: Attempt) -> None:
-        """Stop an attempt whose large value has no client to read it any more."""
+        """Stop an attempt whose large value is not wanted any more, through no fault of its server."""
+
+    def time_out_attempt(self, attempt: Attempt) -> None:
+        """Stop an attempt whose large value is not complete after its deadline."""
 
 
 class CommandProgress(Protocol):
@@ -99,6 +103,10 @@
     def replies(self) -> ReplyOrder:
         """The replies of the connection."""
 
+    @property
+    def reservations(self) -> ValueReservations:
+        """The memory reserved for large values, over all connections."""
+
     def flush(self) -> None:
         """Write the replies that are due."""
 
@@ -182,6 +190,7 @@
 
     budget: BufferBudget
     is_stopping: bool
+    reservations: ValueReservations
 
     def connection_opened(self, connection: ClientConnection, command_due_for_s: float) -> None:
         """Add a connection that the event loop has started to serve."""
@@ -193,6 +202,7 @@
 class SweptListener(Protocol):
     """What the sweeper needs from the listener."""
 
+    reservations: ValueReservations
     idle_connections: IdleConnections
     is_stopping: bool
     stall_detector: StallDetector
--- a/quota_gateway/net/clients/reply_writer.py
+++ b/quota_gateway/net/clients/reply_writer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from quota_gateway.net.clients.buffer_budget import BufferUsage
@@ -57,6 +58,10 @@
         """Whether a request that was read has no answer yet."""
         return any(reply.reply is None for reply in self.pending)
 
+    def has_requests_behind_first(self) -> bool:
+        """Whether requests wait, answered or not, for the first reply to be written."""
+        return any(reply.request_id for reply in islice(self.pending, 1, None))
+
     def is_first(self, reply: PendingReply) -> bool:
         """Whether all replies before this one have been written."""
         return bool(self.pending) and self.pending[0] is reply
@@ -82,8 +87,8 @@
                 transport.write(reply.reply)
                 has_written = True
                 continue
-            if self._must_gather(reply, commands):
-                break
+            if reply.is_unwritten_value() and self._has_others_behind(commands):
+                break  # held back until it is complete: if it is truncated, nobody behind it gets an answer
             has_written |= bool(reply.pieces)
             self._write_pieces(transport, reply, reply.pieces)
             if reply.pieces or reply.attempt:
@@ -91,17 +96,16 @@
             self.pending.popleft()
         return has_written
 
-    def _must_gather(self, reply: PendingReply, commands: CommandBuffer) -> bool:
-        """Whether a large value is held back until it is complete.
+    def held_back_value(self, commands: CommandBuffer) -> PendingReply | None:
+        """Return the large value that is held back although it is its turn; None if there is none."""
+        if not self.pending or self.is_blocked:
+            return None
+        reply = self.pending[0]
+        return reply if reply.is_unwritten_value() and self._has_others_behind(commands) else None
 
-        A value that is truncated after a part of it was written closes the connection, and the commands after
-        it lose their answers. So while there are such commands, nothing of the value is written as long as
-        memory allows.
-        """
-        if reply.attempt is None or reply.has_started_writing or not reply.may_gather:
-            return False
-        has_others_behind = len(self.pending) > 1 or commands.has_partial_command()
-        return has_others_behind and not reply.exceeds_read_ahead()
+    def _has_others_behind(self, commands: CommandBuffer) -> bool:
+        """Whether commands have been read whose replies come after the first one."""
+        return len(self.pending) > 1 or commands.has_partial_command()
 
     def _write_pieces(
         self,
@@ -114,7 +118,6 @@
             piece = pieces.popleft()
             self._buffers.count(-len(piece))
             reply.buffered_bytes -= len(piece)
-            reply.has_started_writing = True
+            reply.on_writing_started()
             transport.write(piece)
-        if reply.attempt and not reply.exceeds_read_ahead():
-            reply.attempt.pause(False)
+        reply.update_reading()
--- /dev/null
+++ b/quota_gateway/net/clients/value_reservations.py
@@ -0,0 +1,82 @@
+"""Reserves memory for large values that have to be buffered as a whole before any of them is written."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from quota_gateway.net.clients.buffer_budget import READ_AHEAD_SHARE, BufferBudget
+
+# Share of the buffer budget that values may reserve whose turn it is; the rest is left to commands.
+RESERVABLE_SHARE = 0.9
+
+
+class UnwrittenValue(Protocol):
+    """A large value that is not complete, and of which nothing is written."""
+
+    @property
+    def missing_bytes(self) -> int:
+        """The number of bytes that have not arrived yet."""
+
+    def is_due(self) -> bool:
+        """Whether all replies before the value have been written."""
+
+    def update_reading(self) -> None:
+        """Pause or resume reading the value, depending on whether it has a reservation."""
+
+
+class ValueReservations:
+    """Lets values be read only if all of their bytes fit in the buffer budget together.
+
+    Values that are all buffered in part would use up the budget, and wait for each other. Values whose turn
+    it is come first, each group in the order of its arrival.
+
+    Args:
+        budget: The buffer budget of all connections.
+    """
+
+    def __init__(self, budget: BufferBudget) -> None:
+        self._budget = budget
+        self._granted: dict[UnwrittenValue, None] = {}
+        self._waiting: dict[UnwrittenValue, None] = {}
+
+    @property
+    def max_value_bytes(self) -> int:
+        """The length of the longest value for which memory can be reserved."""
+        return int(self._budget.max_buffered_bytes * RESERVABLE_SHARE)
+
+    def reserve(self, value: UnwrittenValue) -> bool:
+        """Reserve memory for the rest of a value, now or as soon as there is enough.
+
+        Returns:
+            Whether the value may be read on. If not, ``update_reading`` is called when it may.
+        """
+        if value not in self._granted:
+            self._waiting.setdefault(value)
+            self.grant()
+        return value in self._granted and self._budget.buffered_bytes < self.max_value_bytes
+
+    def release(self, value: UnwrittenValue) -> None:
+        """Release the reservation of a value that is complete, has failed, or is being written."""
+        self._waiting.pop(value, None)
+        if value in self._granted:
+            del self._granted[value]
+            self.grant()
+
+    def grant(self) -> None:
+        """Grant the reservations for which there is memory now, and resume reading their values."""
+        due = [value for value in self._waiting if value.is_due()]
+        for value in due:
+            if not self._grant_one(value, self.max_value_bytes):
+                return  # a shorter value must not overtake this one again and again
+        read_ahead_bytes = int(self._budget.max_buffered_bytes * READ_AHEAD_SHARE)
+        for value in list(self._waiting):
+            self._grant_one(value, read_ahead_bytes)
+
+    def _grant_one(self, value: UnwrittenValue, limit_bytes: int) -> bool:
+        reserved_bytes = sum(granted.missing_bytes for granted in self._granted)
+        if self._budget.buffered_bytes + reserved_bytes + value.missing_bytes > limit_bytes:
+            return False
+        del self._waiting[value]
+        self._granted[value] = None
+        value.update_reading()
+        return True
--- a/quota_gateway/net/driver.py
+++ b/quota_gateway/net/driver.py
@@ -113,9 +113,13 @@
         return request_id in self._requests.by_id
 
     def cancel_attempt(self, attempt: Attempt) -> None:
-        """Stop an attempt whose large value has no client to read it any more."""
+        """Stop an attempt whose large value is not wanted any more, through no fault of its server."""
         self.upstream.stop(attempt, AttemptStatus.CANCELLED)
 
+    def time_out_attempt(self, attempt: Attempt) -> None:
+        """Stop an attempt whose large value is not complete after its deadline."""
+        self.attempts.stop_late(attempt)
+
     def client_disconnected(self, request_id: str) -> None:
         """Drop a request whose client has closed its connection, unless the request is answered."""
         active = self._requests.by_id.get(request_id)
--- a/quota_gateway/net/request_attempts.py
+++ b/quota_gateway/net/request_attempts.py
@@ -27,6 +27,10 @@
 
 log = logging.getLogger(__name__)
 
+# Grace period after the deadline for a large value that waits for the replies before it. The time for which
+# it waits for them does not count; an answer that comes up to 0.5 s after its time is not lost.
+OVERDUE_GRACE_MS = 400.0
+
 UNLISTED_HOST = UpstreamHost()  # placeholder for a server that is no longer listed
 
 
@@ -98,7 +102,18 @@
     def time_out(self, attempt: Attempt) -> None:
         """End an attempt at its deadline, unless a large value that has begun may continue."""
         if attempt.body_consumer is None or attempt.on_deadline():
-            self._upstream.stop(attempt, AttemptStatus.TIMEOUT)
+            self.stop_late(attempt)
+        else:
+            self._timers.call_at(self.clock() + OVERDUE_GRACE_MS, self._end_grace, attempt)
+
+    def _end_grace(self, attempt: Attempt) -> None:
+        if attempt.on_grace_over():
+            self.stop_late(attempt)
+
+    def stop_late(self, attempt: Attempt) -> None:
+        """Stop an attempt after its deadline; if this gateway has paused it, its server is not to blame."""
+        status = AttemptStatus.CANCELLED if attempt.is_paused else AttemptStatus.TIMEOUT
+        self._upstream.stop(attempt, status)
 
     def _create_active_attempt(self, request: ActiveRequest, action: StartAttempt) -> ActiveAttempt:
         """Create the next attempt of a request, with the client's deadline or an earlier one."""
@@ -143,6 +158,7 @@
         body_writer = request.on_body_started(length_bytes, attempt)
         request.body_writer = body_writer
         attempt.on_deadline = body_writer.on_deadline
+        attempt.on_grace_over = body_writer.on_grace_over
         self._requests.check_after_event(request)
         self._post(
             StreamStarted(request.request_id, active.number, active.server, active.first_byte_latency_ms)
--- a/quota_gateway/net/upstream/attempt.py
+++ b/quota_gateway/net/upstream/attempt.py
@@ -40,6 +40,10 @@
     def is_established(self) -> bool:
         """Whether the connection is established."""
 
+    @property
+    def paused(self) -> bool:
+        """Whether reading is paused."""
+
     def pause(self, pause: bool) -> None:
         """Pause reading from the connection, or resume it."""
 
@@ -89,6 +93,7 @@
         "on_body_started",
         "on_deadline",
         "on_done",
+        "on_grace_over",
         "on_sent",
         "payload",
         "refusal_to_send",
@@ -113,6 +118,13 @@
         self.body_consumer: BodyConsumer | None = None  # the consumer of a large value that has begun
         # Called at the deadline if a large value has begun; returns whether the attempt times out.
         self.on_deadline: Callable[[], bool] = _ignore_deadline
+        # Called a grace period later if the attempt goes on; returns whether it times out then.
+        self.on_grace_over: Callable[[], bool] = _ignore_deadline
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether reading the value from the connection is paused."""
+        return self.connection is not None and self.connection.paused
 
     def pause(self, pause: bool) -> None:
         """Pause reading the value from the connection, or resume it."""
@@ -134,5 +146,6 @@
         self.refusal_to_send = _never_refused
         self.on_sent = _ignore_sent
         self.on_deadline = _ignore_deadline
+        self.on_grace_over = _ignore_deadline
         if on_done:
             on_done(reply)
--- a/quota_gateway/telemetry/metrics.py
+++ b/quota_gateway/telemetry/metrics.py
@@ -17,6 +17,7 @@
     ATTEMPTS_REFUSED = ("attempts_refused_total", "reason")
     CLIENT_CONNECTIONS_CLOSED = ("client_connections_closed_total", "reason")
     CLIENT_CLOSES_UNDELIVERED = ("client_closes_undelivered_total", "reason")
+    HELD_BACK_VALUES_FAILED = ("held_back_values_failed_total", "reason")
     CLIENT_ACCEPT_FAILURES = ("client_accept_failures_total", "errno")
     UPSTREAM_CONNECTIONS_CLOSED = ("upstream_connections_closed_total", "status")
     DISCOVERY_WATCHES_ENDED = ("discovery_watches_ended_total", "reason")
