Teach the soak slow readers, values without an end, and a restart of each gateway

A truncated reply counted as its server's doing.

Change: a class of long values (2 MiB at 8 MB/s, 8 % without an end), two behaviours of clients in the default mix, records of values that servers have written whole, and a restart of each gateway under load after the last fault. The oracle tells a value that was cut off by the gateway from one that its server, its link, or the end of a full shutdown cut off, and requests that were read behind a truncated value from those that were not. Of a long value the first byte is due in time.

--- a/soak/clients/behaviours.py
+++ b/soak/clients/behaviours.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
+from soak.clients.commands import MAX_PIPELINED_BODY_BYTES
 from soak.clients.session import ClientSession
 from soak.records import ClientBehaviour, RequestEnd, RequestRecord
 
@@ -23,6 +24,8 @@
     ClientBehaviour.MALFORMED: 4,
     ClientBehaviour.PARTIAL_COMMAND: 3,
     ClientBehaviour.DISCONNECT_AT_ONCE: 2,
+    ClientBehaviour.SLOW_READ: 20,
+    ClientBehaviour.DOWNLOAD_PIPELINE: 8,
 }
 """Relative frequency of each behaviour. If the order changes, every seed draws other behaviours."""
 
@@ -45,6 +48,11 @@
     b"\x00" * 300,
     b"*4\r\n$8\r\nCALL.GET\r\n",
 )
+SLOW_READ_BYTES_PER_S = 1.25e6
+MIN_SEND_DELAY_S, MAX_SEND_DELAY_S = 0.2, 1.2
+"""Times at which a client that reads slowly sends its next request; it reads a long value for 1.7 s."""
+
+REQUESTS_BEHIND_DOWNLOADS = 3
 REQUEST_BEFORE_PARTIAL_SHARE = 0.5
 MAX_PARTIAL_BYTES = 200
 
@@ -155,6 +163,35 @@
     await session.send_malformed(data[:end])
 
 
+async def _read_slowly(session: ClientSession) -> None:
+    """Read a long value slowly, and send the next request meanwhile."""
+    session.connection.read_bytes_per_s = SLOW_READ_BYTES_PER_S
+    records = session.send([session.context.commands.make_download(session.connection)])
+    sending = asyncio.ensure_future(_send_later(session, records))
+    try:
+        await session.read_answers(records)
+        if len(records) == 1:  # The download has failed before the next request was sent.
+            await sending
+            await session.read_answers(records[1:])
+    finally:
+        sending.cancel()
+
+
+async def _send_later(session: ClientSession, records: list[RequestRecord]) -> None:
+    source = session.context.source
+    await asyncio.sleep(MIN_SEND_DELAY_S + (MAX_SEND_DELAY_S - MIN_SEND_DELAY_S) * source.random())
+    command = session.context.commands.make(session.connection, MAX_PIPELINED_BODY_BYTES)
+    records += session.send([command])
+
+
+async def _pipeline_downloads(session: ClientSession) -> None:
+    """Send two downloads and some requests behind them at once; the second download is soon overdue."""
+    commands, connection = session.context.commands, session.connection
+    downloads = [commands.make_download(connection), commands.make_download(connection, True)]
+    others = commands.make_pipeline(connection, REQUESTS_BEHIND_DOWNLOADS)
+    await session.read_answers(session.send([*downloads, *others]))
+
+
 _BEHAVIOURS: dict[ClientBehaviour, Behave] = {
     ClientBehaviour.STEADY: _send_steadily,
     ClientBehaviour.PIPELINE: _pipeline,
@@ -165,4 +202,6 @@
     ClientBehaviour.MALFORMED: _send_malformed,
     ClientBehaviour.PARTIAL_COMMAND: _send_partial_command,
     ClientBehaviour.DISCONNECT_AT_ONCE: _disconnect_at_once,
+    ClientBehaviour.SLOW_READ: _read_slowly,
+    ClientBehaviour.DOWNLOAD_PIPELINE: _pipeline_downloads,
 }
--- a/soak/clients/commands.py
+++ b/soak/clients/commands.py
@@ -15,6 +15,10 @@
 MAX_PIPELINED_BODY_BYTES = 300
 CUSTOMERS = 64
 PLAN = "free"
+DOWNLOAD_TIMEOUTS_MS = (150, 250, 400)
+"""Short timeouts of downloads, over before an earlier download on the connection is complete."""
+
+MAX_DOWNLOAD_TIMEOUT_MS = 1500
 REQUEST_IDS_PER_PROCESS = 1 << 32
 
 
@@ -62,6 +66,16 @@
         body = b"x" * min(max_body_bytes, self._random.choice(BODY_SIZES_BYTES))
         return Command(encode_command(b"CALL.POST", customer, request_id, fields, body), record)
 
+    def make_download(self, connection: ClientConnection, has_short_timeout: bool = False) -> Command:
+        """Make a command whose value is long."""
+        timeout_ms = MAX_DOWNLOAD_TIMEOUT_MS
+        if has_short_timeout:
+            timeout_ms = self._random.choice(DOWNLOAD_TIMEOUTS_MS)
+        record = self.add_record(connection, RequestClass.DOWNLOAD, timeout_ms / MS_PER_S)
+        customer = f"{self._random.randrange(CUSTOMERS):016x}".encode()
+        fields = _encode_fields(record, timeout_ms)
+        return Command(encode_command(b"CALL.GET", customer, record.request_id.encode(), fields), record)
+
     def make_pipeline(self, connection: ClientConnection, length: int) -> list[Command]:
         """Draw commands with small bodies, to be written together."""
         return [self.make(connection, MAX_PIPELINED_BODY_BYTES) for _ in range(length)]
--- a/soak/clients/connection.py
+++ b/soak/clients/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from math import inf
 
 import hiredis
 
@@ -29,6 +30,7 @@
         connected_s: When the connection was opened, by the monotonic clock.
         idle_since_s: The time since which no answer is owed, by the monotonic clock.
         has_partial_reply: Whether the beginning of an incomplete reply has been read.
+        read_bytes_per_s: The rate at which the client reads; infinite for as fast as it can.
     """
 
     def __init__(
@@ -46,8 +48,19 @@
         self.connected_s = time.monotonic()
         self.idle_since_s = self.connected_s
         self.has_partial_reply = False
+        self.read_bytes_per_s = inf
         self._parser = hiredis.Reader(replyError=ReplyError)
 
+    async def begin_reply(self) -> None:
+        """Read the first bytes of the next reply, unless they have been read already.
+
+        Raises:
+            EOFError: The connection has ended.
+            OSError: The connection was reset.
+        """
+        if not self._parser.has_data():
+            await self._read_some()
+
     async def read_reply(self) -> object:
         """Read the next reply.
 
@@ -57,14 +70,18 @@
             hiredis.ProtocolError: The received data is not a valid reply.
         """
         while (reply := self._parser.gets()) is False:
-            data = await self.reader.read(READ_BYTES)
-            if not data:
-                raise EOFError
-            self.has_partial_reply = True
-            self._parser.feed(data)
+            await self._read_some()
         self.has_partial_reply = self._parser.has_data()
         return reply
 
+    async def _read_some(self) -> None:
+        data = await self.reader.read(READ_BYTES)
+        if not data:
+            raise EOFError
+        self.has_partial_reply = True
+        self._parser.feed(data)
+        await asyncio.sleep(len(data) / self.read_bytes_per_s)
+
     def close(self, with_reset: bool = False) -> None:
         """Close the connection at once."""
         if with_reset:
--- a/soak/clients/session.py
+++ b/soak/clients/session.py
@@ -24,6 +24,9 @@
 EXTRA_WAIT_S = 1.0
 """Additional time for which a client waits, to distinguish a late answer from a missing one."""
 
+LONG_VALUE_PATIENCE_S = 4.0
+"""Time from the first byte of a long value after which a client waits for the rest no longer."""
+
 MIN_WAIT_S = 0.01
 SHOWN_VALUE_CHARACTERS = 40
 CONNECTION_ENDS = (EOFError, OSError, hiredis.ProtocolError)
@@ -90,12 +93,13 @@
         """Read the answers in the order of their requests.
 
         An answer is due ANSWER_GRACE_S after its request's timeout or the previous answer, if that is later.
+        Of a long value the first byte is due then.
 
         Raises:
             EOFError: The connection has ended.
             TimeoutError: An answer did not come in time.
         """
-        previous_end_s = 0.0
+        previous_end_s = self.connection.idle_since_s
         for position, record in enumerate(records):
             record.due_s = max(record.sent_s + record.timeout_s, previous_end_s) + ANSWER_GRACE_S
             try:
@@ -132,23 +136,40 @@
         record.lag_s = self.context.lag.seconds()
 
     async def _read_reply(self, record: RequestRecord) -> object:
-        wait_s = record.due_s + EXTRA_WAIT_S - time.monotonic()
-        return await asyncio.wait_for(self.connection.read_reply(), max(MIN_WAIT_S, wait_s))
+        if record.class_name is RequestClass.DOWNLOAD:
+            await asyncio.wait_for(self.connection.begin_reply(), _remaining_s(record))
+            record.due_s = max(record.due_s, time.monotonic() + LONG_VALUE_PATIENCE_S - EXTRA_WAIT_S)
+        return await asyncio.wait_for(self.connection.read_reply(), _remaining_s(record))
 
     def _record_unanswered(self, unanswered: RequestRecord, unread: Sequence[RequestRecord]) -> None:
         """Record a request as unanswered, and those behind it as abandoned by the client."""
+        if self.connection.has_partial_reply:
+            self._record_truncated(unanswered, unread)
+            return
         self.record_end(unanswered, RequestEnd.UNANSWERED)
         for record in unread:
             self.record_end(record, RequestEnd.CLIENT_DISCONNECTED)
 
     def _record_closed(self, unanswered: Sequence[RequestRecord]) -> None:
         """Record that the gateway has closed the connection, unless the client closed it first."""
+        first, *others = unanswered
+        if self.connection.has_partial_reply and first.end is RequestEnd.UNANSWERED:
+            self._record_truncated(first, others)
+            return
         for record in unanswered:
             if record.end is RequestEnd.UNANSWERED:
                 self.record_end(record, RequestEnd.GATEWAY_DISCONNECTED)
-        first = unanswered[0]
-        if self.connection.has_partial_reply and first.end is RequestEnd.GATEWAY_DISCONNECTED:
-            first.end = RequestEnd.TRUNCATED
+
+    def _record_truncated(self, truncated: RequestRecord, behind: Sequence[RequestRecord]) -> None:
+        self.record_end(truncated, RequestEnd.TRUNCATED)
+        for record in behind:
+            if record.end is RequestEnd.UNANSWERED:
+                self.record_end(record, RequestEnd.BEHIND_TRUNCATED)
+
+
+def _remaining_s(record: RequestRecord) -> float:
+    """Return for how long a client waits for an answer from now on."""
+    return max(MIN_WAIT_S, record.due_s + EXTRA_WAIT_S - time.monotonic())
 
 
 def _describe_reply(reply: object, request_id: str) -> str:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -16,9 +16,9 @@
 from soak.gateways.ports import draw_free_port
 from soak.records import ServerColdStart
 from soak.settings import (
-    IDEMPOTENCY_BY_CLASS,
     MEAN_SERVICE_S,
     SERVER_CAPACITY,
+    SHORT_VALUE_CLASSES,
     SoakConfig,
     gateway_settings,
 )
@@ -157,7 +157,7 @@
             "clients",
             type(None),
             gateway_ports=[gateway.port for gateway in gateways],
-            class_names=list(IDEMPOTENCY_BY_CLASS),
+            class_names=list(SHORT_VALUE_CLASSES),
             connections=self._config.connections_per_process,
             seed=self._config.seed,
             number=number,
--- a/soak/faults/processes.py
+++ b/soak/faults/processes.py
@@ -37,14 +37,19 @@
         """Change the processes of a gateway."""
 
 
+async def restart(gateway: SoakGateway) -> None:
+    """End the current process of a gateway by SIGTERM, and start another one."""
+    gateway.forget_detachments()
+    await gateway.terminate(gateway.current)
+    await gateway.start_and_wait()
+
+
 class GatewayRestart(GatewayProcessFault):
     """The current process is ended by SIGTERM, then another one is started."""
 
     async def change(self, gateway: SoakGateway, strength: float) -> None:  # noqa: ARG002 - nothing to scale
         """Restart the gateway."""
-        gateway.forget_detachments()
-        await gateway.terminate(gateway.current)
-        await gateway.start_and_wait()
+        await restart(gateway)
 
 
 class GatewayCrash(GatewayProcessFault):
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -14,7 +14,9 @@
 from quota_gateway.net import graceful_shutdown, request_guard
 from quota_gateway.net.active_request import RequestState
 from quota_gateway.net.clients.connection import ClientConnection
+from quota_gateway.net.clients.connection_lifecycle import ConnectionLifecycle
 from quota_gateway.net.clients.listener import ClientListener
+from quota_gateway.net.clients.reply_writer import ReplyWriter
 from quota_gateway.net.request_answers import RequestAnswers
 from quota_gateway.net.request_attempts import RequestAttempts
 from quota_gateway.net.upstream.host import UpstreamHost
@@ -165,6 +167,17 @@
     ClientConnection.flush = flush  # type: ignore[method-assign]
 
 
+def _close_undelivered() -> None:
+    lifecycle: Any = ConnectionLifecycle
+    lifecycle.linger = ConnectionLifecycle.close
+    lifecycle.is_delivery_pending = lambda _self: False
+
+
+def _write_unfinished_values() -> None:
+    writer: Any = ReplyWriter
+    writer._has_others_behind = lambda _self, _commands: False
+
+
 class PlantedFault(NamedTuple):
     """A fault that is planted in the gateway's code.
 
@@ -222,6 +235,10 @@
     ),
     # The gateway closes some connections on which an answer is owed.
     "close_while_owed": PlantedFault(_close_while_owed, Rule.PROCESS),
+    # The gateway closes connections whose clients still read a reply that it has written.
+    "close_undelivered": PlantedFault(_close_undelivered, Rule.ANSWERED),
+    # The gateway writes a large value before it is complete, though requests wait behind it.
+    "write_unfinished_values": PlantedFault(_write_unfinished_values, Rule.ANSWERED),
 }
 """The planted faults, by their names on the command line."""
 
--- a/soak/play.py
+++ b/soak/play.py
@@ -11,13 +11,24 @@
 from scale.supervisor import Supervisor
 from soak.deployment import Deployer, Deployment
 from soak.faults import Fault, make_faults
+from soak.faults.processes import restart
 from soak.plan import PlannedFault, draw_plan
-from soak.records import CommandRecord, EndpointChange, FaultRecord, RequestRecord, SoakRecords
+from soak.records import (
+    CommandRecord,
+    CompleteReply,
+    EndpointChange,
+    FaultRecord,
+    RequestRecord,
+    SoakRecords,
+)
 from soak.settings import SoakConfig
 
 SETTLE_S = 3.0
 """Time for which clients continue after the last fault is over."""
 
+RESTART_INTERVAL_S = 0.3
+"""Time between the restarts of two gateways after the last fault is over."""
+
 
 async def run_soak(config: SoakConfig, folder: Path) -> SoakRecords:
     """Run one seed; return its records.
@@ -34,6 +45,8 @@
     async with Supervisor(config, folder, log, child_module="soak.child") as supervisor:
         deployment = await Deployer(config, supervisor, folder).start()
         faults = await _inject_all(draw_plan(config), deployment)
+        if config.restarts_all:
+            await _restart_all(deployment)
         await asyncio.sleep(SETTLE_S)
         return await _collect(deployment, faults)
 
@@ -49,6 +62,14 @@
     return records
 
 
+async def _restart_all(deployment: Deployment) -> None:
+    """Restart each gateway under load, as a release does; the restarts overlap."""
+    async with asyncio.TaskGroup() as group:
+        for gateway in deployment.gateways:
+            group.create_task(restart(gateway))
+            await asyncio.sleep(RESTART_INTERVAL_S)
+
+
 async def _inject(
     planned: PlannedFault, fault: Fault, run_start_s: float, records: list[FaultRecord]
 ) -> None:
@@ -74,6 +95,7 @@
         records.requests += await client.call("records", list[RequestRecord])
     for role in set(deployment.server_roles.values()):
         records.commands += await role.call("records", list[CommandRecord])
+        records.complete_replies += await role.call("complete_replies", list[CompleteReply])
     records.endpoint_changes = await deployment.discovery.call("records", list[EndpointChange])
     for gateway in deployment.gateways:
         records.processes += await gateway.finish()
--- a/soak/records.py
+++ b/soak/records.py
@@ -30,6 +30,9 @@
     ORDER = "order"
     """Non-idempotent."""
 
+    DOWNLOAD = "download"
+    """Idempotent, with long values."""
+
     MALFORMED = "junk"
     """Data of a misbehaving client that is not a request; the gateway owes an error or a close."""
 
@@ -46,6 +49,8 @@
     MALFORMED = "junk"
     PARTIAL_COMMAND = "half"
     DISCONNECT_AT_ONCE = "leave_early"
+    SLOW_READ = "slow_reader"
+    DOWNLOAD_PIPELINE = "downloads"
 
 
 class RequestEnd(StrEnum):
@@ -61,7 +66,10 @@
     """The connection ended before the request was written."""
 
     TRUNCATED = "truncated"
-    """The gateway closed in the middle of a reply, which its server may have truncated."""
+    """The reply ended in the middle, or went on for too long; its server may have truncated it."""
+
+    BEHIND_TRUNCATED = "behind"
+    """The reply to an earlier request on the connection was truncated."""
 
 
 class EndpointLifecycle(StrEnum):
@@ -143,6 +151,14 @@
         return self.received_s - self.lag_s
 
 
+class CompleteReply(msgspec.Struct, frozen=True):
+    """A long value that a server has written whole: its request, the server, and when the kernel had it."""
+
+    request_id: str
+    server: str
+    at_s: float
+
+
 class EndpointChange(msgspec.Struct, frozen=True):
     """A change of the endpoint list: the server, its new lifecycle, and when discovery published it."""
 
@@ -225,6 +241,7 @@
 
     requests: list[RequestRecord] = []
     commands: list[CommandRecord] = []
+    complete_replies: list[CompleteReply] = []
     endpoint_changes: list[EndpointChange] = []
     detachments: list[Detachment] = []
     faults: list[FaultRecord] = []
--- a/soak/records_file.py
+++ b/soak/records_file.py
@@ -13,6 +13,7 @@
 from soak.fault_kinds import FaultKind
 from soak.records import (
     CommandRecord,
+    CompleteReply,
     Detachment,
     EndpointChange,
     FaultRecord,
@@ -38,7 +39,7 @@
     end_s: float
 
 
-class _Document(msgspec.Struct):
+class _Document(msgspec.Struct, omit_defaults=True):
     requests: list[RequestRecord]
     commands: list[CommandRecord]
     changes: list[EndpointChange]
@@ -46,6 +47,7 @@
     troubles: list[_Interval]
     processes: list[ProcessEnd]
     starts: list[Violation]
+    complete_replies: list[CompleteReply] = []
 
 
 def write_records(records: SoakRecords, path: Path) -> None:
@@ -61,6 +63,7 @@
         troubles=_to_intervals(records),
         processes=records.processes,
         starts=records.start_violations,
+        complete_replies=records.complete_replies,
     )
     path.write_bytes(msgspec.json.encode(document))
 
@@ -84,6 +87,7 @@
         ],
         processes=document.processes,
         start_violations=document.starts,
+        complete_replies=document.complete_replies,
     )
     for interval in document.troubles:
         _add_interval(records, interval)
--- a/soak/servers/connection.py
+++ b/soak/servers/connection.py
@@ -9,10 +9,13 @@
 
 from soak.fault_kinds import FaultKind
 from soak.loop_lag import LoopLag
-from soak.servers.state import ReceivedCommand, ServerState
+from soak.servers.state import LONG_VALUE_BYTES, ReceivedCommand, ServerState
 from soak.tcp_reset import abort_with_reset
 
 BUSY_REPLY = b"-BUSY\r\n"
+PIECE_BYTES = 64 * 1024
+PIECE_INTERVAL_S = 0.008
+"""Time between two pieces of a long value; together they make 8 MB/s."""
 
 
 class ServerConnection(asyncio.Protocol):
@@ -34,6 +37,7 @@
         self._lag = lag
         self._parser = hiredis.Reader()
         self._transport: asyncio.Transport | None = None
+        self._streams: set[asyncio.Task[None]] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection; do not read from it while the server is not reading."""
@@ -93,7 +97,24 @@
             return
         self.commands_in_flight -= 1
         self._state.in_flight -= 1
-        self._write(self._state.make_reply(command))
+        reply = self._state.make_reply(command)
+        if len(reply) < LONG_VALUE_BYTES:
+            self._write(reply)
+            return
+        stream = asyncio.get_running_loop().create_task(self._stream(command, reply))
+        self._streams.add(stream)
+        stream.add_done_callback(self._streams.discard)
+
+    async def _stream(self, command: ReceivedCommand, reply: bytes) -> None:
+        """Write a long value in pieces; record it once the kernel has all of it."""
+        written_bytes = self._state.draw_written_bytes(len(reply))
+        for start in range(0, written_bytes, PIECE_BYTES):
+            self._write(reply[start : min(start + PIECE_BYTES, written_bytes)])
+            await asyncio.sleep(PIECE_INTERVAL_S)
+        while self._transport and self._transport.get_write_buffer_size():  # noqa: ASYNC110 - no event for it
+            await asyncio.sleep(PIECE_INTERVAL_S)
+        if self._transport and written_bytes == len(reply):
+            self._state.record_complete_reply(command)
 
     def _write(self, data: bytes) -> None:
         if self._transport:
--- a/soak/servers/role.py
+++ b/soak/servers/role.py
@@ -4,7 +4,7 @@
 
 from soak.fault_kinds import FaultKind
 from soak.loop_lag import LoopLag
-from soak.records import CommandRecord
+from soak.records import CommandRecord, CompleteReply
 from soak.servers.server import SoakServer
 from soak.servers.state import ServerState
 
@@ -42,3 +42,7 @@
     async def records(self) -> list[CommandRecord]:
         """Return the commands that all servers have received."""
         return [record for server in self._servers.values() for record in server.state.records]
+
+    async def complete_replies(self) -> list[CompleteReply]:
+        """Return the long values that all servers have written whole."""
+        return [reply for server in self._servers.values() for reply in server.state.complete_replies]
--- a/soak/servers/state.py
+++ b/soak/servers/state.py
@@ -8,7 +8,7 @@
 
 from scale.stubs.servers import encode_reply
 from soak.fault_kinds import FaultKind
-from soak.records import CommandRecord
+from soak.records import CommandRecord, CompleteReply, RequestClass
 from soak.settings import MS_PER_S
 
 SERVICE_TIME_SIGMA = 0.4
@@ -25,6 +25,10 @@
 LARGE_VALUE_MIN_DRAW = 0.98
 LARGE_VALUE_MIN_TIMEOUT_S = 0.3
 LARGE_VALUE_BYTES = 300_000
+LONG_VALUE_BYTES = 2 * 1024 * 1024
+ENDLESS_VALUE_SHARE = 0.08
+"""Share of the long values that stop in the middle, with their connection left open."""
+
 LOAD_REPORT = b"util=0.5,queue=0"
 ERROR_REPLY = b"-ERR failed\r\n"
 MALFORMED_REPLIES = (
@@ -50,12 +54,19 @@
 
     request_id: bytes
     timeout_s: float
+    class_name: RequestClass
+
+    @property
+    def has_long_value(self) -> bool:
+        """Whether the value is long."""
+        return self.class_name is RequestClass.DOWNLOAD
 
     @classmethod
     def parse(cls, words: list[bytes]) -> ReceivedCommand:
         """Parse the words of a command."""
         fields = dict(part.split(b"=", 1) for part in words[3].split(b","))
-        return cls(words[2], float(fields[b"d"]) / MS_PER_S)
+        class_name = RequestClass(fields[b"c"].decode())
+        return cls(words[2], float(fields[b"d"]) / MS_PER_S, class_name)
 
 
 class ServerState:
@@ -71,6 +82,7 @@
         fault: The current fault; None if there is none.
         in_flight: The number of requests that the server is processing.
         records: The commands that the server has received.
+        complete_replies: The long values that the server has written whole.
         reading_resumed_s: When the server resumed reading after a fault, by the monotonic clock.
     """
 
@@ -78,6 +90,7 @@
         self.fault: FaultKind | None = None
         self.in_flight = 0
         self.records: list[CommandRecord] = []
+        self.complete_replies: list[CompleteReply] = []
         self.reading_resumed_s = 0.0
         self._name = name
         self._capacity = capacity
@@ -104,6 +117,17 @@
         )
         self.records.append(record)
 
+    def record_complete_reply(self, command: ReceivedCommand) -> None:
+        """Record that a long value has been written whole."""
+        reply = CompleteReply(command.request_id.decode(), self._name, time.monotonic())
+        self.complete_replies.append(reply)
+
+    def draw_written_bytes(self, reply_bytes: int) -> int:
+        """Draw how many bytes of a long value are written; fewer than all of a value that never ends."""
+        if self._random.random() < ENDLESS_VALUE_SHARE:
+            return int(reply_bytes * self._random.random())
+        return reply_bytes
+
     def draws_reset(self) -> bool:
         """Draw whether a request ends by a connection reset; return the result."""
         return self.fault is FaultKind.RESET_DURING_REQUEST and self._random.random() < RESET_SHARE
@@ -127,6 +151,8 @@
         if self.fault is FaultKind.DUPLICATE_REPLY and draw < DUPLICATE_REPLY_SHARE:
             return 2 * encode_reply(command.request_id, None, None)
         value = command.request_id
-        if draw > LARGE_VALUE_MIN_DRAW and command.timeout_s > LARGE_VALUE_MIN_TIMEOUT_S:
+        if command.has_long_value:
+            value *= LONG_VALUE_BYTES // len(value)
+        elif draw > LARGE_VALUE_MIN_DRAW and command.timeout_s > LARGE_VALUE_MIN_TIMEOUT_S:
             value *= LARGE_VALUE_BYTES // len(value)
         return encode_reply(value, None, LOAD_REPORT)
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -33,9 +33,13 @@
     RequestClass.READ: "safe",
     RequestClass.KEYED: "keyed",
     RequestClass.ORDER: "unsafe",
+    RequestClass.DOWNLOAD: "safe",
 }
 """The idempotency of each request class, as named in the settings."""
 
+SHORT_VALUE_CLASSES = (RequestClass.READ, RequestClass.KEYED, RequestClass.ORDER)
+"""The classes that most clients draw from."""
+
 
 class SoakConfig(msgspec.Struct, frozen=True):
     """The sizes of a run.
@@ -53,6 +57,7 @@
         processes: The limit on the number of processes.
         planted_fault: The name of the planted fault in the gateways; empty for none.
         added_faults: The faults injected in addition to those drawn, one for each entry.
+        restarts_all: Whether each gateway is restarted under load after the last fault.
     """
 
     seed: int
@@ -67,6 +72,7 @@
     processes: int = 40
     planted_fault: str = ""
     added_faults: tuple[FaultKind, ...] = ()
+    restarts_all: bool = True
 
     @property
     def server_names(self) -> list[list[str]]:
--- a/soak/tcp_reset.py
+++ b/soak/tcp_reset.py
@@ -14,5 +14,6 @@
     """Close a connection with a TCP reset; a connection that is already closed stays as it is."""
     with suppress(OSError):
         sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_WITHOUT_TIME)
+        if sock is not None:  # the transport has not forgotten its socket yet
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_WITHOUT_TIME)
     transport.abort()
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -10,6 +10,7 @@
 from soak.records import (
     ClientBehaviour,
     CommandRecord,
+    CompleteReply,
     Detachment,
     EndpointChange,
     EndpointLifecycle,
@@ -91,6 +92,11 @@
     return Detachment(server="s-1", gateway=gateway, **span(start_s, end_s))
 
 
+def complete_reply(after_s):
+    """Return the record of a long value that its server has written whole ``after_s`` after the request."""
+    return CompleteReply("r", "s-1", SENT_S + after_s)
+
+
 def process(**fields):
     """Return a process that ended without a violation, with some fields replaced."""
     values = {"exit_code": 0, "was_killed": False, "is_overdue": False, "log": "", "violations": 0}
@@ -112,6 +118,8 @@
 
 DISCONNECTED_REQUEST = request(end="left", ended_s=SENT_S + 0.2, reply="")
 CLOSED_REQUEST = request(end="closed", reply="")
+TRUNCATED_REQUEST = request(class_name="download", end="truncated", ended_s=SENT_S + 1.5, reply="")
+REQUEST_BEHIND_TRUNCATED = request(end="behind", is_first=False, reply="")
 DRAINING_SERVER = EndpointChange("s-1", EndpointLifecycle.TERMINATING, SENT_S)
 
 CASES = {
@@ -139,6 +147,28 @@
         requests=[CLOSED_REQUEST], commands=[], shutdowns=[shutdown(-0.45, 0.4)]
     ),
     "unsent": case(requests=[request(end="unsent", sent_s=0.0, reply="")], commands=[]),
+    "cut off after its server has written it": case(
+        "answered", requests=[TRUNCATED_REQUEST], complete_replies=[complete_reply(0.3)]
+    ),
+    "cut off in a shutdown that has not used its time": case(
+        "answered",
+        requests=[TRUNCATED_REQUEST],
+        complete_replies=[complete_reply(0.3)],
+        shutdowns=[shutdown(0.5, 1.0)],
+    ),
+    "cut off at the end of a shutdown": case(
+        requests=[TRUNCATED_REQUEST],
+        complete_replies=[complete_reply(0.3)],
+        shutdowns=[shutdown(-0.6, 1.5)],
+    ),
+    "cut off by the link to its server": case(
+        requests=[TRUNCATED_REQUEST],
+        complete_replies=[complete_reply(0.3)],
+        faults=[fault("break", 0.1, 0.5, server="s-1")],
+    ),
+    "truncated by its server": case(requests=[TRUNCATED_REQUEST]),
+    "read behind a truncated reply": case("answered", requests=[REQUEST_BEHIND_TRUNCATED]),
+    "unread behind a truncated reply": case(requests=[REQUEST_BEHIND_TRUNCATED], commands=[]),
     "malformed command without an error or a close": case(
         "answered", requests=[request(class_name="junk", end="silent", reply="")], commands=[]
     ),
--- a/tests/soak/test_play.py
+++ b/tests/soak/test_play.py
@@ -24,6 +24,7 @@
     client_processes=1,
     connections_per_process=6,
     faults_per_s=0.0,
+    restarts_all=False,
 )
 
 KINDS_OF_SEED_1 = """
--- a/tests/soak/test_records_file.py
+++ b/tests/soak/test_records_file.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from soak.fault_kinds import FaultKind
 from soak.records import (
     Detachment,
@@ -69,10 +71,16 @@
     return path
 
 
-def test_records_round_trip_in_the_same_format(tmp_path):
-    records = read_records(write_document(tmp_path))
-    write_records(records, tmp_path / "again.json")
-    assert json.loads((tmp_path / "again.json").read_text()) == DOCUMENT
+COMPLETE_REPLIES = {"complete_replies": [{"request_id": "1", "server": "s-00", "at_s": 2.4}]}
+"""A list that files of earlier versions lack."""
+
+
+@pytest.mark.parametrize("added", [{}, COMPLETE_REPLIES])
+def test_records_round_trip_in_the_same_format(tmp_path, added):
+    path = write_document(tmp_path)
+    path.write_text(json.dumps(DOCUMENT | added))
+    write_records(read_records(path), tmp_path / "again.json")
+    assert json.loads((tmp_path / "again.json").read_text()) == DOCUMENT | added
 
 
 def test_intervals_are_read_into_a_type_for_each_kind(tmp_path):
