Complete held back values one at a time where memory is short

Change: a value whose turn it is may exceed the buffer budget by a fifth, and reserved values do not count for new commands, which would be rejected else. A reservation lasts until the value is written, not until it is complete. An attempt that was paused at any time, not only at its deadline, is no failure of its server.

--- a/quota_gateway/net/clients/buffer_budget.py
+++ b/quota_gateway/net/clients/buffer_budget.py
@@ -2,26 +2,44 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 # Share of the buffer budget above which large values are read only as fast as clients read.
 READ_AHEAD_SHARE = 0.5
 
 
+class BufferedValue(Protocol):
+    """A large value that is buffered as a whole before it is written."""
+
+    buffered_bytes: int
+
+
 class BufferBudget:
-    """The bytes that are buffered for all connections of a listener, and their limit."""
+    """The bytes that are buffered for all connections of a listener, and their limit.
 
-    __slots__ = ("buffered_bytes", "max_buffered_bytes")
+    Attributes:
+        buffered_bytes: The bytes that are buffered for all connections.
+        max_buffered_bytes: The limit on them, without those of reserved values.
+        reserved_values: The values with memory of their own, see ``ValueReservations``.
+    """
+
+    __slots__ = ("buffered_bytes", "max_buffered_bytes", "reserved_values")
 
     def __init__(self, max_buffered_bytes: int) -> None:
         self.buffered_bytes = 0
         self.max_buffered_bytes = max_buffered_bytes
+        self.reserved_values: set[BufferedValue] = set()
+
+    def _counted_bytes(self) -> int:
+        return self.buffered_bytes - sum(value.buffered_bytes for value in self.reserved_values)
 
     def is_exceeded(self) -> bool:
         """Whether more bytes are buffered than the limit allows."""
-        return self.buffered_bytes > self.max_buffered_bytes
+        return self._counted_bytes() > self.max_buffered_bytes
 
     def read_ahead_bytes(self) -> int:
         """Return how many bytes of one large value may be buffered now; fewer as the budget fills up."""
-        return max(0, int(self.max_buffered_bytes * READ_AHEAD_SHARE) - self.buffered_bytes)
+        return max(0, int(self.max_buffered_bytes * READ_AHEAD_SHARE) - self._counted_bytes())
 
 
 class BufferUsage:
--- a/quota_gateway/net/clients/connection.py
+++ b/quota_gateway/net/clients/connection.py
@@ -87,6 +87,7 @@
         self.lifecycle.mark_closed()
         self._owner.connection_closed(self)
         for reply in self.replies.take_all():
+            self.reservations.release(reply)
             if reply.attempt:
                 self._owner.driver.cancel_attempt(reply.attempt)
             elif reply.reply is None:
--- a/quota_gateway/net/clients/pending_reply.py
+++ b/quota_gateway/net/clients/pending_reply.py
@@ -109,7 +109,7 @@
     @property
     def missing_bytes(self) -> int:
         """The number of bytes of an unwritten large value that have not arrived yet."""
-        return max(0, self.length_bytes - self.buffered_bytes)
+        return max(0, self.length_bytes - self.buffered_bytes) if self.attempt else 0
 
     def is_due(self) -> bool:
         """Whether all replies before this one have been written."""
@@ -126,9 +126,11 @@
         return self.connection.reservations.reserve(self)
 
     def on_writing_started(self) -> None:
-        """Record that a part of a large value is written: from now on it is read ahead of its client."""
-        if not self.has_started_writing:
-            self.has_started_writing = True
+        """Record that a large value begins to be written; if it is not complete, it is now read ahead."""
+        if self.has_started_writing:
+            return
+        self.has_started_writing = True
+        if self.attempt:
             self.connection.reservations.release(self)
 
     def is_streaming(self) -> bool:
@@ -172,10 +174,10 @@
             is_complete: Whether the server's whole reply has arrived and is well-formed.
         """
         self.attempt = None
-        self.connection.reservations.release(self)
         if is_complete:
             self.take(b"\r\n")
         elif self.has_started_writing:
             self.connection.linger(CloseReason.VALUE_TRUNCATED)
         else:
+            self.connection.reservations.release(self)
             self.set_reply(FAILED_REPLY)
--- a/quota_gateway/net/clients/reply_writer.py
+++ b/quota_gateway/net/clients/reply_writer.py
@@ -94,6 +94,7 @@
             if reply.pieces or reply.attempt:
                 break
             self.pending.popleft()
+            reply.connection.reservations.release(reply)
         return has_written
 
     def held_back_value(self, commands: CommandBuffer) -> PendingReply | None:
@@ -115,9 +116,9 @@
     ) -> None:
         """Write pieces of a large value while the client reads, then resume its attempt if buffers allow."""
         while pieces and not self.is_blocked:
+            reply.on_writing_started()
             piece = pieces.popleft()
             self._buffers.count(-len(piece))
             reply.buffered_bytes -= len(piece)
-            reply.on_writing_started()
             transport.write(piece)
         reply.update_reading()
--- a/quota_gateway/net/clients/value_reservations.py
+++ b/quota_gateway/net/clients/value_reservations.py
@@ -4,14 +4,16 @@
 
 from typing import Protocol
 
-from quota_gateway.net.clients.buffer_budget import READ_AHEAD_SHARE, BufferBudget
+from quota_gateway.net.clients.buffer_budget import BufferBudget, BufferedValue
 
-# Share of the buffer budget that values may reserve whose turn it is; the rest is left to commands.
-RESERVABLE_SHARE = 0.9
+# Limits on all buffered bytes, as shares of the buffer budget, with which a value is granted a reservation. A
+# value whose turn it is may exceed the budget by a fifth: it is completed though others have begun to arrive.
+DUE_SHARE = 1.2
+EARLY_SHARE = 0.5
 
 
-class UnwrittenValue(Protocol):
-    """A large value that is not complete, and of which nothing is written."""
+class UnwrittenValue(BufferedValue, Protocol):
+    """A large value of which nothing is written before all of it is buffered."""
 
     @property
     def missing_bytes(self) -> int:
@@ -25,13 +27,13 @@
 
 
 class ValueReservations:
-    """Lets values be read only if all of their bytes fit in the buffer budget together.
+    """Lets values be read only if all of their bytes fit into the buffer budget together.
 
-    Values that are all buffered in part would use up the budget, and wait for each other. Values whose turn
-    it is come first, each group in the order of its arrival.
+    Values that are all buffered in part would use up the memory, and wait for each other. Values whose turn
+    it is come first, each group in the order of its arrival. A reservation lasts until the value is written.
 
     Args:
-        budget: The buffer budget of all connections.
+        budget: The buffer budget of all connections, which does not count reserved values for new commands.
     """
 
     def __init__(self, budget: BufferBudget) -> None:
@@ -42,10 +44,10 @@
     @property
     def max_value_bytes(self) -> int:
         """The length of the longest value for which memory can be reserved."""
-        return int(self._budget.max_buffered_bytes * RESERVABLE_SHARE)
+        return int(self._budget.max_buffered_bytes * DUE_SHARE)
 
     def reserve(self, value: UnwrittenValue) -> bool:
-        """Reserve memory for the rest of a value, now or as soon as there is enough.
+        """Reserve memory for a value, now or as soon as there is enough.
 
         Returns:
             Whether the value may be read on. If not, ``update_reading`` is called when it may.
@@ -53,13 +55,14 @@
         if value not in self._granted:
             self._waiting.setdefault(value)
             self.grant()
-        return value in self._granted and self._budget.buffered_bytes < self.max_value_bytes
+        return value in self._granted
 
     def release(self, value: UnwrittenValue) -> None:
-        """Release the reservation of a value that is complete, has failed, or is being written."""
+        """End the reservation of a value that is written, has failed, or is written before it is complete."""
         self._waiting.pop(value, None)
         if value in self._granted:
             del self._granted[value]
+            self._budget.reserved_values.discard(value)
             self.grant()
 
     def grant(self) -> None:
@@ -68,15 +71,18 @@
         for value in due:
             if not self._grant_one(value, self.max_value_bytes):
                 return  # a shorter value must not overtake this one again and again
-        read_ahead_bytes = int(self._budget.max_buffered_bytes * READ_AHEAD_SHARE)
+        early_bytes = int(self._budget.max_buffered_bytes * EARLY_SHARE)
         for value in list(self._waiting):
-            self._grant_one(value, read_ahead_bytes)
+            self._grant_one(value, early_bytes)
 
     def _grant_one(self, value: UnwrittenValue, limit_bytes: int) -> bool:
-        reserved_bytes = sum(granted.missing_bytes for granted in self._granted)
-        if self._budget.buffered_bytes + reserved_bytes + value.missing_bytes > limit_bytes:
+        if value not in self._waiting:
+            return True  # granted or released while another value was resumed
+        missing_bytes = value.missing_bytes + sum(granted.missing_bytes for granted in self._granted)
+        if self._budget.buffered_bytes + missing_bytes > limit_bytes:
             return False
         del self._waiting[value]
         self._granted[value] = None
+        self._budget.reserved_values.add(value)
         value.update_reading()
         return True
--- a/quota_gateway/net/request_attempts.py
+++ b/quota_gateway/net/request_attempts.py
@@ -112,7 +112,7 @@
 
     def stop_late(self, attempt: Attempt) -> None:
         """Stop an attempt after its deadline; if this gateway has paused it, its server is not to blame."""
-        status = AttemptStatus.CANCELLED if attempt.is_paused else AttemptStatus.TIMEOUT
+        status = AttemptStatus.CANCELLED if attempt.was_paused else AttemptStatus.TIMEOUT
         self._upstream.stop(attempt, status)
 
     def _create_active_attempt(self, request: ActiveRequest, action: StartAttempt) -> ActiveAttempt:
--- a/quota_gateway/net/upstream/attempt.py
+++ b/quota_gateway/net/upstream/attempt.py
@@ -40,10 +40,6 @@
     def is_established(self) -> bool:
         """Whether the connection is established."""
 
-    @property
-    def paused(self) -> bool:
-        """Whether reading is paused."""
-
     def pause(self, pause: bool) -> None:
         """Pause reading from the connection, or resume it."""
 
@@ -97,6 +93,7 @@
         "on_sent",
         "payload",
         "refusal_to_send",
+        "was_paused",
     )
 
     def __init__(
@@ -116,18 +113,15 @@
         self.on_sent = on_sent
         self.connection: AttemptConnection | None = None
         self.body_consumer: BodyConsumer | None = None  # the consumer of a large value that has begun
+        self.was_paused = False  # whether the value may be late because of this gateway
         # Called at the deadline if a large value has begun; returns whether the attempt times out.
         self.on_deadline: Callable[[], bool] = _ignore_deadline
         # Called a grace period later if the attempt goes on; returns whether it times out then.
         self.on_grace_over: Callable[[], bool] = _ignore_deadline
 
-    @property
-    def is_paused(self) -> bool:
-        """Whether reading the value from the connection is paused."""
-        return self.connection is not None and self.connection.paused
-
     def pause(self, pause: bool) -> None:
         """Pause reading the value from the connection, or resume it."""
+        self.was_paused = self.was_paused or pause
         if self.connection:
             self.connection.pause(pause)
 
