Plant a queue that is closed unread as it says, and give large value tests one set-up

The planted fault close_queue_unread called a method that does not exist: the gateway crashed, which its check counted as met. It now suspends accepting at SIGTERM and closes the queue 0.3 s later. Four tests of large values share the set-up that each of them wrote out.

--- a/soak/planted.py
+++ b/soak/planted.py
@@ -31,6 +31,7 @@
 RARE_SHARE = 0.01
 DROPPED_SHARE = 0.05
 EXTRA_TIMEOUT_MS = 400.0
+UNREAD_QUEUE_S = 0.3  # time for which connections wait in the queue that is then closed
 
 # Planted faults replace methods with different signatures, so the type accepts any arguments.
 PatchedMethod = Callable[..., Any]
@@ -129,14 +130,10 @@
 
 
 def _close_queue_unread() -> None:
-    def stop_listening(self: Any) -> None:
-        self._stop_accepting()
-        if self.listening_socket:
-            self.listening_socket.close()
-            self.listening_socket = None
+    def stop_listening(self: ClientListener) -> None:
+        self.acceptor.suspend()
+        self.loop.call_later(UNREAD_QUEUE_S, self.acceptor.close)
         self.is_stopping = True
-        for connection in list(self.connections):
-            connection.flush()
 
     module: Any = graceful_shutdown
     module.ACCEPT_PERIOD_S = 0.0
--- a/tests/net/clients/test_large_replies.py
+++ b/tests/net/clients/test_large_replies.py
@@ -11,8 +11,9 @@
 from quota_gateway.net.resp import ReplyReader
 from quota_gateway.net.upstream import pool as upstream_pool
 from quota_gateway.telemetry import Metric
+from tests.support.fake_client import FakeClient
 from tests.support.fake_upstream import FakeUpstream
-from tests.support.gateway_node import HEDGING_LIMITS, run_gateway, wait_until
+from tests.support.gateway_node import HEDGING_LIMITS, GatewayNode, run_gateway, wait_until
 from tests.support.resp_encoding import encode_call, encode_reply
 
 LARGE_VALUE = bytes(range(256)) * 16_384  # 4 MiB
@@ -384,15 +385,26 @@
             assert await client.read_reply() == b"%016x" % (2 * number + 1)
 
 
+def reply_to_third_request(words: list[bytes]) -> bytes | None:
+    """Reply to the third request with its id, and to others not yet."""
+    return encode_reply(words[2]) if words[2].endswith(b"3") else None
+
+
+async def send_requests_around_a_value(gateway: GatewayNode, server: FakeUpstream) -> FakeClient:
+    """Send three requests at once, and begin a value for the second one, whose timeout is short."""
+    client = await gateway.connect_client()
+    client.send(encode_call(1), encode_call(2, timeout_ms=300), encode_call(3))
+    await server.wait_until(lambda: len(server.commands) == 3)
+    writer_for(server, b"2").write(VALUE_HEADER + LARGE_VALUE[:100_000])
+    return client
+
+
 # Guards against a value that is overdue at its turn and never ends: it was written in part, and the requests
 # behind it were read, served, and never answered.
 async def test_value_that_is_overdue_at_its_turn_fails_and_those_behind_it_are_answered():
-    server = FakeUpstream(lambda words: encode_reply(words[2]) if words[2].endswith(b"3") else None)
+    server = FakeUpstream(reply_to_third_request)
     async with run_gateway(server) as gateway:
-        client = await gateway.connect_client()
-        client.send(encode_call(1), encode_call(2, timeout_ms=300), encode_call(3))
-        await server.wait_until(lambda: len(server.commands) == 3)
-        writer_for(server, b"2").write(VALUE_HEADER + LARGE_VALUE[:100_000])
+        client = await send_requests_around_a_value(gateway, server)
         await asyncio.sleep(PAST_GRACE_S)
         writer_for(server, b"1").write(encode_reply(b"first"))
         assert await client.read_reply() == b"first"
@@ -402,12 +414,9 @@
 
 
 async def test_overdue_value_that_is_complete_at_its_turn_is_written():
-    server = FakeUpstream(lambda words: encode_reply(words[2]) if words[2].endswith(b"3") else None)
+    server = FakeUpstream(reply_to_third_request)
     async with run_gateway(server) as gateway:
-        client = await gateway.connect_client()
-        client.send(encode_call(1), encode_call(2, timeout_ms=300), encode_call(3))
-        await server.wait_until(lambda: len(server.commands) == 3)
-        writer_for(server, b"2").write(VALUE_HEADER + LARGE_VALUE[:100_000])
+        client = await send_requests_around_a_value(gateway, server)
         await asyncio.sleep(PAST_GRACE_S)
         writer_for(server, b"2").write(LARGE_VALUE[100_000:] + VALUE_END)
         await wait_until(lambda: len(gateway.driver.active_requests) == 1)
@@ -419,12 +428,9 @@
 
 # Guards against a healthy value that fails at its turn, as the time for which it waits for others counted.
 async def test_value_past_its_deadline_at_its_turn_may_become_complete_within_the_grace_period():
-    server = FakeUpstream(lambda words: encode_reply(words[2]) if words[2].endswith(b"3") else None)
+    server = FakeUpstream(reply_to_third_request)
     async with run_gateway(server) as gateway:
-        client = await gateway.connect_client()
-        client.send(encode_call(1), encode_call(2, timeout_ms=300), encode_call(3))
-        await server.wait_until(lambda: len(server.commands) == 3)
-        writer_for(server, b"2").write(VALUE_HEADER + LARGE_VALUE[:100_000])
+        client = await send_requests_around_a_value(gateway, server)
         await asyncio.sleep(0.4)
         writer_for(server, b"1").write(encode_reply(b"first"))
         assert await client.read_reply() == b"first"
@@ -435,12 +441,9 @@
 
 # Guards against the grace period of a value that is due in it and never ends: nothing would fail it any more.
 async def test_value_that_becomes_due_within_the_grace_period_and_never_ends_fails_after_it():
-    server = FakeUpstream(lambda words: encode_reply(words[2]) if words[2].endswith(b"3") else None)
+    server = FakeUpstream(reply_to_third_request)
     async with run_gateway(server) as gateway:
-        client = await gateway.connect_client()
-        client.send(encode_call(1), encode_call(2, timeout_ms=300), encode_call(3))
-        await server.wait_until(lambda: len(server.commands) == 3)
-        writer_for(server, b"2").write(VALUE_HEADER + LARGE_VALUE[:100_000])
+        client = await send_requests_around_a_value(gateway, server)
         await asyncio.sleep(0.4)
         writer_for(server, b"1").write(encode_reply(b"first"))
         assert await client.read_reply() == b"first"
