Let runs of the soak follow one another, and end detachments with the process that shuts down

Ports that one run had let go of were taken by the other, and request ids are the same in each. The operators' call was answered by a process that was shutting down, and the next one starts from nothing (DEPLOY). The soak forgot detachments before the restart and not after it; a shutdown lasts longer now while clients read.

--- a/soak/faults/processes.py
+++ b/soak/faults/processes.py
@@ -39,8 +39,8 @@
 
 async def restart(gateway: SoakGateway) -> None:
     """End the current process of a gateway by SIGTERM, and start another one."""
-    gateway.forget_detachments()
     await gateway.terminate(gateway.current)
+    gateway.forget_detachments()  # also those that the process accepted while it shut down
     await gateway.start_and_wait()
 
 
--- a/soak/play.py
+++ b/soak/play.py
@@ -10,6 +10,7 @@
 
 from scale.supervisor import Supervisor
 from soak.deployment import Deployer, Deployment
+from soak.exclusive_run import exclusive_run
 from soak.faults import Fault, make_faults
 from soak.faults.processes import restart
 from soak.plan import PlannedFault, draw_plan
@@ -31,7 +32,7 @@
 
 
 async def run_soak(config: SoakConfig, folder: Path) -> SoakRecords:
-    """Run one seed; return its records.
+    """Run one seed, once no other run is under way on this machine; return its records.
 
     Args:
         config: The seed and the sizes of the run.
@@ -42,7 +43,7 @@
         LimitError: The run needs more processes than the configuration allows.
     """
     log = structlog.get_logger()
-    async with Supervisor(config, folder, log, child_module="soak.child") as supervisor:
+    async with exclusive_run(), Supervisor(config, folder, log, child_module="soak.child") as supervisor:
         deployment = await Deployer(config, supervisor, folder).start()
         faults = await _inject_all(draw_plan(config), deployment)
         if config.restarts_all:
