--- a/soak/faults/processes.py
+++ b/soak/faults/processes.py
@@ -110,10 +110,12 @@
     """The old version is killed as soon as the new one is ready."""
 
     async def change(self, gateway: SoakGateway, strength: float) -> None:  # noqa: ARG002 - nothing to scale
-        """Upgrade the gateway."""
-        old = gateway.current
-        if await gateway.start_and_wait():
+        """Upgrade the gateway; a new version that is not ready in time is killed."""
+        old, new = gateway.current, await gateway.start()
+        if await gateway.wait_until_ready(new):
             await gateway.kill(old, OutageKind.OLD_VERSION_KILLED)
+        else:
+            await gateway.kill_new_version(old, new)
 
 
 class ProcessPause:
