--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: clients, servers, discovery and the starting of gateways."""
